--- /dev/null
+++ b/daemon/src/connection.rs
@@ -0,0 +1,189 @@
+//! One client connection, as executions, probes and the watch use it: hyper's plain HTTP/1.1 connection,
+//! which never resends, over a stream that counts what has been written.
+
+use std::io::{self, IoSlice};
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::{Buf, Bytes, BytesMut};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{handshake, SendRequest};
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+
+pub struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    written: Arc<AtomicU64>,
+    driver: AbortHandle,
+}
+
+/// Dropping a connection closes it, whatever was on it: that is how an attempt is given up.
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+/// Why no answer came, and whether the request's last byte had been written by then.
+pub struct Broken {
+    pub written: Written,
+    pub why: hyper::Error,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Written {
+    Nothing,
+    Part,
+    Whole,
+}
+
+impl Connection {
+    pub async fn open(address: SocketAddr, limit: Duration) -> Result<Connection, String> {
+        let open = async {
+            let stream = TcpStream::connect(address).await.map_err(|e| e.to_string())?;
+            stream.set_nodelay(true).map_err(|e| e.to_string())?;
+            let written = Arc::<AtomicU64>::default();
+            let io = TokioIo::new(Counted { stream, written: written.clone() });
+            let (sender, connection) = handshake(io).await.map_err(|e| e.to_string())?;
+            let driver = tokio::spawn(async move {
+                // What ends it also ends the request on it, which tells why.
+                let _ = connection.await;
+            });
+            Ok(Connection { sender, written, driver: driver.abort_handle() })
+        };
+        tokio::time::timeout(limit, open).await.unwrap_or_else(|_| Err("not up in time".to_owned()))
+    }
+
+    /// Whether another request may go out on it.
+    pub fn usable(&self) -> bool {
+        self.sender.is_ready()
+    }
+
+    /// Waits until the last answer is done with.
+    pub async fn ready(&mut self) -> bool {
+        self.sender.ready().await.is_ok()
+    }
+
+    pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Broken> {
+        let (whole, before) = (size(&request), self.written.load(Ordering::Relaxed));
+        match self.sender.send_request(request).await {
+            Ok(response) => Ok(response),
+            Err(why) => {
+                let written = match self.written.load(Ordering::Relaxed) - before {
+                    0 => Written::Nothing,
+                    n if n < whole => Written::Part,
+                    _ => Written::Whole,
+                };
+                Err(Broken { written, why })
+            }
+        }
+    }
+}
+
+/// The bytes that a request takes on the wire. All its headers must be set: hyper then adds none.
+fn size(request: &Request<Full<Bytes>>) -> u64 {
+    let line = request.method().as_str().len() + 1 + request.uri().to_string().len() + " HTTP/1.1\r\n".len();
+    let headers: usize = request.headers().iter().map(|(n, v)| n.as_str().len() + v.len() + 4).sum();
+    let body = hyper::body::Body::size_hint(request.body()).lower();
+    (line + headers + 2) as u64 + body
+}
+
+/// A stream that counts the bytes the kernel has taken from it.
+struct Counted {
+    stream: TcpStream,
+    written: Arc<AtomicU64>,
+}
+
+impl Counted {
+    fn count(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        if let Poll::Ready(Ok(n)) = written {
+            self.written.fetch_add(n as u64, Ordering::Relaxed);
+        }
+        written
+    }
+}
+
+impl AsyncRead for Counted {
+    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for Counted {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.count(written)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context,
+        bufs: &[IoSlice],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.count(written)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
+
+/// The lines of an answer, as they come.
+pub struct Lines {
+    body: Incoming,
+    buffer: BytesMut,
+    searched: usize,
+    longest: usize,
+}
+
+impl Lines {
+    pub fn new(body: Incoming, longest: usize) -> Self {
+        Lines { body, buffer: BytesMut::new(), searched: 0, longest }
+    }
+
+    /// The next line without its end; `None` when the answer has properly ended.
+    pub async fn next(&mut self) -> Result<Option<Bytes>, String> {
+        loop {
+            if let Some(end) = self.buffer[self.searched..].iter().position(|b| *b == b'\n') {
+                let line = self.buffer.split_to(self.searched + end).freeze();
+                self.buffer.advance(1);
+                self.searched = 0;
+                return Ok(Some(line));
+            }
+            self.searched = self.buffer.len();
+            if self.searched > self.longest {
+                return Err(format!("a line of more than {} bytes", self.longest));
+            }
+            match self.body.frame().await {
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        self.buffer.extend_from_slice(&data);
+                    }
+                }
+                Some(Err(e)) => return Err(e.to_string()),
+                None if self.buffer.is_empty() => return Ok(None),
+                None => {
+                    self.searched = 0;
+                    return Ok(Some(self.buffer.split().freeze()));
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/counters.rs
@@ -0,0 +1,61 @@
+//! What the scheduler has taken in, sent and answered; printed on request and at exit.
+
+use std::fmt;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+
+use knotmux::Outcome;
+
+macro_rules! counters {
+    ($($name:ident),* $(,)?) => {
+        #[derive(Default)]
+        pub struct Counters { $(pub $name: Counter),* }
+
+        impl fmt::Display for Counters {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                let all = [$((stringify!($name), &self.$name)),*];
+                for (n, (name, counter)) in all.into_iter().enumerate() {
+                    write!(f, "{}{name}={}", if n == 0 { "" } else { " " }, counter.get())?;
+                }
+                Ok(())
+            }
+        }
+    };
+}
+
+counters! {
+    taken, served, refused, failed, client_gone, rejected,
+    sent, sent_ok, sent_error, sent_full, sent_timeout, sent_connect_failed, sent_reset, sent_cancelled,
+    sent_not_sent, cancels, probes, probes_ok, watches, lists, connects, reuses, accepted, accept_errors,
+}
+
+pub type Shared = Arc<Counters>;
+
+#[derive(Default)]
+pub struct Counter(AtomicU64);
+
+impl Counter {
+    pub fn add(&self) {
+        self.0.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub fn get(&self) -> u64 {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+impl Counters {
+    pub fn ended(&self, outcome: Outcome) {
+        match outcome {
+            Outcome::Ok => &self.sent_ok,
+            Outcome::Error => &self.sent_error,
+            Outcome::Full => &self.sent_full,
+            Outcome::Timeout => &self.sent_timeout,
+            Outcome::ConnectFailed => &self.sent_connect_failed,
+            Outcome::Reset => &self.sent_reset,
+            Outcome::Cancelled => &self.sent_cancelled,
+            Outcome::NotSent => &self.sent_not_sent,
+        }
+        .add();
+    }
+}
--- /dev/null
+++ b/daemon/src/execution.rs
@@ -0,0 +1,377 @@
+//! Executions: one attempt each at an instance, over pooled connections; and probes.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::header::{HeaderName, HeaderValue, CONTENT_LENGTH, HOST};
+use hyper::http::uri::PathAndQuery;
+use hyper::{Method, Request, Response, StatusCode, Uri};
+use knotmux::{Outcome, Report};
+use tinyjson::JsonValue;
+use tokio::sync::{mpsc, OwnedSemaphorePermit, Semaphore};
+use tokio::time::timeout;
+use tracing::{debug, warn};
+
+use crate::config::Links;
+use crate::connection::{Connection, Lines, Written};
+use crate::core::{End, Execute, Input};
+use crate::counters::Shared;
+use crate::json;
+
+/// What passes on unchanged, as the bytes that came.
+pub struct Parcel {
+    pub method: Method,
+    pub target: PathAndQuery,
+    pub request_id: HeaderValue,
+    /// Further headers that go on as they came.
+    pub headers: Vec<(HeaderName, HeaderValue)>,
+    pub body: Bytes,
+}
+
+/// The longest line and body read from an instance.
+const LONGEST: usize = 64 << 10;
+/// A probe is answered beside the queue; one that takes longer finds a stuck instance.
+const PROBE: Duration = Duration::from_millis(250);
+/// For how long the end of an answer is waited for, so that its connection can serve again.
+const TAIL: Duration = Duration::from_secs(1);
+/// A connection this near to the end of its idle time is not used again: a request that crosses the
+/// instance's close ends as a reset, after which the job may have run.
+const IDLE_MARGIN: Duration = Duration::from_millis(1500);
+
+struct Pooled {
+    connection: Connection,
+    since: Instant,
+    permit: OwnedSemaphorePermit,
+}
+
+/// The instances' side of the scheduler: its connections to all of them.
+pub struct Instances {
+    pool: Mutex<HashMap<SocketAddr, Vec<Pooled>>>,
+    permits: Arc<Semaphore>,
+    links: Links,
+    counters: Shared,
+    queue: mpsc::UnboundedSender<Input<Parcel>>,
+}
+
+/// A connection in use. Dropped, it closes.
+struct Lease {
+    connection: Connection,
+    permit: OwnedSemaphorePermit,
+    address: SocketAddr,
+    reused: bool,
+}
+
+impl Instances {
+    pub fn new(
+        most: usize,
+        links: Links,
+        counters: Shared,
+        queue: mpsc::UnboundedSender<Input<Parcel>>,
+    ) -> Arc<Self> {
+        let permits = Arc::new(Semaphore::new(most));
+        Arc::new(Instances { pool: Mutex::default(), permits, links, counters, queue })
+    }
+
+    /// Makes one attempt and reports its one end, whichever comes first of its own outcome, the module's
+    /// cancel and its time running out.
+    pub async fn execute(self: Arc<Self>, execute: Execute<Parcel>) {
+        let Execute { job, attempt, address, until, cancel, parcel } = execute;
+        let cancelled = async {
+            // A cancel whose sender is gone can no longer come.
+            if cancel.await.is_err() {
+                std::future::pending::<()>().await;
+            }
+        };
+        let (end, tail) = tokio::select! {
+            biased;
+            done = self.attempt(job, attempt, address, until, &parcel) => done,
+            () = cancelled => (Outcome::Cancelled.into(), None),
+            () = tokio::time::sleep_until(until.into()) => (Outcome::Timeout.into(), None),
+        };
+        let _ = self.queue.send(Input::Ended { job, attempt, end });
+        if let Some((lines, lease)) = tail {
+            self.finish(lines, lease).await;
+        }
+    }
+
+    async fn attempt(
+        &self,
+        job: u64,
+        attempt: u32,
+        address: SocketAddr,
+        until: Instant,
+        parcel: &Parcel,
+    ) -> (End, Option<(Lines, Lease)>) {
+        let mut fresh = false;
+        let (mut lease, answer) = loop {
+            let mut lease = match self.lease(address, fresh).await {
+                Ok(lease) => lease,
+                Err(why) => {
+                    debug!(%address, why, "could not connect");
+                    return (Outcome::ConnectFailed.into(), None);
+                }
+            };
+            match lease.connection.send(parcel.request(address, until)).await {
+                Ok(answer) => break (lease, answer),
+                // The instance closed it while it was idle and not a byte went out: nothing was sent yet.
+                Err(broken) if lease.reused && broken.written == Written::Nothing => fresh = true,
+                Err(broken) => {
+                    debug!(%address, why = %broken.why, written = ?broken.written, "connection broke");
+                    let whole = broken.written == Written::Whole;
+                    let outcome = if whole { Outcome::Reset } else { Outcome::ConnectFailed };
+                    return (outcome.into(), None);
+                }
+            }
+        };
+        lease.reused = true;
+        let (outcome, report) = (head_outcome(&answer), head_report(&answer));
+        let mut lines = Lines::new(answer.into_body(), LONGEST);
+        if let Some(outcome) = outcome {
+            return (End { outcome, result: None, report }, Some((lines, lease)));
+        }
+        loop {
+            let line = match lines.next().await {
+                Ok(Some(line)) if line.iter().all(u8::is_ascii_whitespace) => continue,
+                Ok(Some(line)) => line,
+                // Ended or broken before its last line: it may have run.
+                Ok(None) | Err(_) => return (Outcome::Reset.into(), None),
+            };
+            match State::read(&line, parcel.request_id.as_bytes()) {
+                Ok(State::Going) => {
+                    let _ = self.queue.send(Input::Progress { job, attempt });
+                }
+                Ok(State::Ended(mut end)) => {
+                    end.report = end.report.or(report);
+                    return (end, Some((lines, lease)));
+                }
+                Err(why) => {
+                    warn!(%address, why, "broken line from an instance");
+                    return (Outcome::Reset.into(), None);
+                }
+            }
+        }
+    }
+
+    /// Reads an answer to its end and keeps the connection.
+    async fn finish(&self, mut lines: Lines, mut lease: Lease) {
+        let tail = async {
+            let mut left = 64;
+            while let Ok(line) = lines.next().await {
+                left -= 1;
+                if line.is_none() {
+                    return lease.connection.ready().await;
+                } else if left == 0 {
+                    return false;
+                }
+            }
+            false
+        };
+        if timeout(TAIL, tail).await == Ok(true) {
+            self.give_back(lease);
+        }
+    }
+
+    pub async fn probe(self: Arc<Self>, instance: u32, address: SocketAddr) {
+        let (outcome, report) =
+            timeout(PROBE, self.ask_load(address)).await.unwrap_or((Outcome::Timeout, None));
+        debug!(instance, ?outcome, ?report, "probed");
+        let _ = self.queue.send(Input::Probed { instance, outcome, report });
+    }
+
+    async fn ask_load(&self, address: SocketAddr) -> (Outcome, Option<Report>) {
+        let mut fresh = false;
+        let (lease, answer) = loop {
+            let Ok(mut lease) = self.lease(address, fresh).await else {
+                return (Outcome::ConnectFailed, None);
+            };
+            let mut request = Request::new(Full::default());
+            *request.uri_mut() = Uri::from_static("/load");
+            request.headers_mut().insert(HOST, host(address));
+            match lease.connection.send(request).await {
+                Ok(answer) => break (lease, answer),
+                Err(broken) if lease.reused && broken.written == Written::Nothing => fresh = true,
+                Err(_) => return (Outcome::Reset, None),
+            }
+        };
+        let (status, in_head) = (answer.status(), head_report(&answer));
+        let Ok(body) = Limited::new(answer.into_body(), LONGEST).collect().await else {
+            return (Outcome::Reset, None);
+        };
+        let mut lease = lease;
+        if lease.connection.ready().await {
+            self.give_back(lease);
+        }
+        let report = report_of(&body.to_bytes()).or(in_head);
+        (if status == StatusCode::OK { Outcome::Ok } else { Outcome::Error }, report)
+    }
+
+    async fn lease(&self, address: SocketAddr, fresh: bool) -> Result<Lease, String> {
+        while let Some(pooled) = if fresh { None } else { self.take(address) } {
+            if pooled.connection.usable() {
+                self.counters.reuses.add();
+                let Pooled { connection, permit, .. } = pooled;
+                return Ok(Lease { connection, permit, address, reused: true });
+            }
+        }
+        let permit = match self.permits.clone().try_acquire_owned() {
+            Ok(permit) => permit,
+            Err(_) => {
+                // All descriptors are in use: an idle connection to some other instance gives way.
+                self.drop_oldest();
+                let permit = timeout(self.links.connect, self.permits.clone().acquire_owned()).await;
+                permit.map_err(|_| "no descriptor free")?.map_err(|e| e.to_string())?
+            }
+        };
+        self.counters.connects.add();
+        let connection = Connection::open(address, self.links.connect).await?;
+        Ok(Lease { connection, permit, address, reused: false })
+    }
+
+    fn pool(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, Vec<Pooled>>> {
+        self.pool.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The connection used last: the others may then close for idleness.
+    fn take(&self, address: SocketAddr) -> Option<Pooled> {
+        let usable = self.links.idle.saturating_sub(IDLE_MARGIN);
+        let pooled = self.pool().get_mut(&address)?.pop()?;
+        (pooled.since.elapsed() < usable).then_some(pooled)
+    }
+
+    fn give_back(&self, lease: Lease) {
+        let Lease { connection, permit, address, .. } = lease;
+        let pooled = Pooled { connection, since: Instant::now(), permit };
+        self.pool().entry(address).or_default().push(pooled);
+    }
+
+    fn drop_oldest(&self) {
+        let mut pool = self.pool();
+        let oldest = pool.iter().filter_map(|(address, idle)| Some((idle.first()?.since, *address))).min();
+        if let Some(idle) = oldest.and_then(|(_, address)| pool.get_mut(&address)) {
+            idle.remove(0);
+        }
+    }
+
+    /// Closes, for as long as the program runs, what has been idle too long to be used again.
+    pub async fn sweep(self: Arc<Self>) {
+        loop {
+            tokio::time::sleep(Duration::from_secs(1)).await;
+            let usable = self.links.idle.saturating_sub(IDLE_MARGIN);
+            self.pool().retain(|_, idle| {
+                idle.retain(|pooled| pooled.since.elapsed() < usable && pooled.connection.usable());
+                !idle.is_empty()
+            });
+        }
+    }
+}
+
+fn host(address: SocketAddr) -> HeaderValue {
+    HeaderValue::try_from(address.to_string()).unwrap_or_else(|_| HeaderValue::from_static("instance"))
+}
+
+impl Parcel {
+    fn request(&self, address: SocketAddr, until: Instant) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = Uri::from(self.target.clone());
+        let headers = request.headers_mut();
+        headers.insert(HOST, host(address));
+        headers.insert("request-id", self.request_id.clone());
+        headers.extend(self.headers.iter().cloned());
+        let left = until.saturating_duration_since(Instant::now()).as_secs_f64();
+        if let Ok(left) = HeaderValue::try_from(format!("{left:.3}")) {
+            headers.insert("request-timeout", left);
+        }
+        headers.insert(CONTENT_LENGTH, HeaderValue::from(self.body.len()));
+        request
+    }
+}
+
+/// The outcome, where the head of the answer tells it; a stream of lines tells it later.
+fn head_outcome(answer: &Response<Incoming>) -> Option<Outcome> {
+    let unstarted = answer.headers().get("not-started").is_some_and(|v| v.as_bytes() == b"1");
+    match answer.status().as_u16() {
+        200 => None,
+        503 | 504 if unstarted => Some(Outcome::Full),
+        500 | 503 | 504 => Some(Outcome::Error),
+        status => {
+            warn!(status, "unexpected status from an instance");
+            Some(Outcome::Error)
+        }
+    }
+}
+
+fn head_report(answer: &Response<Incoming>) -> Option<Report> {
+    report_of(answer.headers().get("server-load")?.as_bytes())
+}
+
+/// A load report, as an object or as `name=value,name=value`.
+fn report_of(bytes: &[u8]) -> Option<Report> {
+    let mut report = Report::default();
+    if bytes.first() == Some(&b'{') {
+        fill(&mut report, &json::decode(bytes).ok()?);
+        return Some(report);
+    }
+    let mut any = false;
+    for (name, value) in std::str::from_utf8(bytes).ok()?.split(',').filter_map(|f| f.split_once('=')) {
+        any = true;
+        set(&mut report, name.trim(), value.trim().parse().ok());
+    }
+    any.then_some(report)
+}
+
+fn fill(report: &mut Report, object: &JsonValue) {
+    for (name, value) in object.get::<HashMap<String, JsonValue>>().into_iter().flatten() {
+        set(report, name, value.get::<f64>().copied());
+    }
+}
+
+/// The settings name the fields in the simulator's words; the sockets carry the site's.
+fn set(report: &mut Report, name: &str, value: Option<f64>) {
+    match name {
+        "x0" => report.free_slots = value,
+        "x1" => report.free_memory = value,
+        "q" | "queue" => report.queued = value,
+        "rate" | "qps" => report.served_per_s = value,
+        "fail_rate" | "eps" => report.errors_per_s = value,
+        _ => {}
+    }
+}
+
+/// What one line of an answer says.
+enum State {
+    Going,
+    Ended(End),
+}
+
+impl State {
+    fn read(line: &[u8], request_id: &[u8]) -> Result<State, String> {
+        let value = json::decode(line)?;
+        let object: &HashMap<String, JsonValue> = value.get().ok_or("not an object")?;
+        let text = |name: &str| object.get(name).and_then(|v| v.get::<String>());
+        if text("id").is_some_and(|id| id.as_bytes() != request_id) {
+            return Err("it is of another request".to_owned());
+        }
+        let mut end = match text("state").map(String::as_str) {
+            Some("started" | "running") => return Ok(State::Going),
+            Some("done") => {
+                let result = text("result").ok_or("done without a result")?;
+                let result = Some(Bytes::copy_from_slice(result.as_bytes()));
+                End { outcome: Outcome::Ok, result, report: None }
+            }
+            Some("failed") => Outcome::Error.into(),
+            Some("returned") => Outcome::Full.into(),
+            Some("lost") => Outcome::Reset.into(),
+            _ => return Err("no known state".to_owned()),
+        };
+        if let Some(load) = object.get("load") {
+            fill(end.report.insert(Report::default()), load);
+        }
+        Ok(State::Ended(end))
+    }
+}
--- /dev/null
+++ b/daemon/src/lib.rs
@@ -0,0 +1,73 @@
+//! The dispatcher as a scheduler on real sockets: the parts round its core, and how they are joined.
+#![forbid(unsafe_code)]
+
+pub mod config;
+mod connection;
+pub mod core;
+pub mod counters;
+pub mod execution;
+mod json;
+pub mod name_table;
+pub mod service_client;
+pub mod shutdown;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use knotmux::Dispatcher;
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::sync::mpsc;
+use tracing::info;
+
+use crate::config::Config;
+use crate::core::{Clock, Core, Entrance, Order};
+use crate::counters::Shared;
+use crate::execution::Instances;
+use crate::name_table::NameTable;
+use crate::service_client::Front;
+use crate::shutdown::Shutdown;
+
+/// Descriptors that neither clients nor instances get: the listener, the watch, the runtime's own, the
+/// standard streams, and connections between their accept and their place.
+const RESERVED: usize = 48;
+
+pub fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(1024)
+}
+
+/// Serves until the shutdown has run its course and all that was taken is answered.
+pub async fn run(
+    config: Config,
+    listener: TcpListener,
+    counters: Shared,
+    shutdown: Shutdown,
+) -> Result<(), String> {
+    let dispatcher = Dispatcher::new(config.settings, config.seed).map_err(|e| format!("settings: {e}"))?;
+    let (queue, inputs) = mpsc::unbounded_channel();
+    let (watch, asked) = mpsc::unbounded_channel();
+    let shared = config.sockets.saturating_sub(RESERVED).max(16);
+    let for_instances = shared * 2 / 5;
+    let instances = Instances::new(for_instances, config.links, counters.clone(), queue.clone());
+    tokio::spawn(instances.clone().sweep());
+    let carry_out = move |order| match order {
+        Order::Execute(execute) => drop(tokio::spawn(instances.clone().execute(execute))),
+        Order::Probe { instance, address } => {
+            drop(tokio::spawn(instances.clone().probe(instance, address)));
+        }
+        Order::Watch => drop(watch.send(())),
+    };
+    let table = NameTable { discovery: config.discovery, words: config.words, queue: queue.clone(), asked };
+    tokio::spawn(table.run(config.known));
+    let core = Core::new(dispatcher, Clock::start(), counters.clone(), carry_out);
+    let core = tokio::spawn(core.run(inputs));
+    info!(name = config.name, listen = ?listener.local_addr(), "serving");
+    let front = Front { names: Arc::new(config.names), entrance: Entrance::new(queue), counters, shutdown };
+    tokio::select! {
+        () = service_client::serve(listener, front, shared - for_instances) => Ok(()),
+        // It runs as long as the queue has senders: if it ends, the module has panicked.
+        ended = core => Err(format!("the core ended: {ended:?}")),
+    }
+}
