--- a/daemon/src/config.rs
+++ b/daemon/src/config.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use knotmux::{Class, Contract, Effect, Group, Settings, Tenant};
+use nickelflow::{Class, Contract, Effect, Group, Settings, Tenant};
 
 use crate::json::{self, Field};
 use crate::name_table::{self, List, Words};
--- a/daemon/src/core.rs
+++ b/daemon/src/core.rs
@@ -12,7 +12,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
-use knotmux::{
+use nickelflow::{
     Action, Dispatcher, Event, ListKind, Membership, Nanos, Outcome, Report, Request, RequestId, WorkerEntry,
     WorkerId,
 };
--- a/daemon/src/counters.rs
+++ b/daemon/src/counters.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 
-use knotmux::Outcome;
+use nickelflow::Outcome;
 
 macro_rules! counters {
     ($($name:ident),* $(,)?) => {
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -14,7 +14,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use knotmux::Dispatcher;
+use nickelflow::Dispatcher;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::mpsc;
 use tracing::info;
--- a/daemon/src/name_table.rs
+++ b/daemon/src/name_table.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{header, Request, StatusCode};
-use knotmux::{ListKind, Membership};
+use nickelflow::{ListKind, Membership};
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 use tracing::{info, warn};
--- a/drill/src/instance.rs
+++ b/simhost/src/instance.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 
-use knotmux::{
+use nickelflow::{
     Action, Class, Contract, Dispatcher, Effect, Event, Group, ListKind, Membership, Outcome, Report,
     Request, RequestId, Settings, Tenant, WorkerEntry, WorkerId,
 };
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,7 +5,7 @@
 //! the same actions.
 //!
 //! ```
-//! use knotmux::{
+//! use nickelflow::{
 //!     Action, Class, Contract, Dispatcher, Effect, Event, ListKind, Membership, Outcome, Report, Request,
 //!     RequestId, Settings, WorkerEntry, WorkerId,
 //! };
@@ -71,7 +71,7 @@
 //! };
 //! dispatcher.handle(at + 2 * MS, Event::Request(request), &mut actions);
 //! assert!(matches!(actions[0], Action::Send { worker: WorkerId(0), .. }));
-//! # Ok::<(), knotmux::SettingsError>(())
+//! # Ok::<(), nickelflow::SettingsError>(())
 //! ```
 #![forbid(unsafe_code)]
 
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use knotmux::*;
+use nickelflow::*;
 
 // ---- the mechanism ---------------------------------------------------------------------------------------
 
