--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -65,7 +65,13 @@
     let core = tokio::spawn(core.run(inputs));
     let address = listener.local_addr().map_err(|e| format!("listen: {e}"))?;
     info!(name = config.name, listen = %address, "serving");
-    let front = Front { names: Arc::new(config.names), entrance: Entrance::new(queue), counters, shutdown };
+    let front = Front {
+        names: Arc::new(config.names),
+        entrance: Entrance::new(queue),
+        counters,
+        shutdown,
+        under_way: Arc::default(),
+    };
     tokio::select! {
         () = service_client::serve(listener, front, shared - for_instances) => Ok(()),
         // It runs as long as the queue has senders: if it ends, the module has panicked.
--- a/daemon/src/service_client.rs
+++ b/daemon/src/service_client.rs
@@ -9,14 +9,14 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_TYPE, RETRY_AFTER};
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::service::TowerToHyperService;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::time::timeout;
 use tower::Service;
 use tracing::{debug, warn};
@@ -35,6 +35,8 @@
 const BODY: Duration = Duration::from_secs(10);
 /// The longest wait that a client may ask for.
 const LONGEST_WAIT: f64 = 3600.0;
+/// For how long a connection that is to close may still bring the rest of a head.
+const LAST_HEAD: Duration = Duration::from_millis(200);
 /// Accepting goes on this long after it failed: descriptors come free meanwhile.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -47,6 +49,8 @@
     pub entrance: Entrance<Parcel>,
     pub counters: Shared,
     pub shutdown: Shutdown,
+    /// One for each connection; every call under way on it holds a clone.
+    pub under_way: Arc<()>,
 }
 
 impl Service<Request<Incoming>> for Front {
@@ -97,12 +101,17 @@
         let came = Instant::now();
         let (parts, body) = request.into_parts();
         let mut job = self.read(parts, came).map_err(|why| (StatusCode::BAD_REQUEST, why))?;
+        let too_large = (StatusCode::PAYLOAD_TOO_LARGE, "body over 64 KiB".to_owned());
+        // Announced as too large, it is not waited for: the client may well wait for the answer.
+        if body.size_hint().lower() > LARGEST_BODY as u64 {
+            return Err(too_large);
+        }
         let body = timeout(BODY, Limited::new(body, LARGEST_BODY).collect()).await;
         let body = body.map_err(|_| (StatusCode::REQUEST_TIMEOUT, "body not whole in time".to_owned()))?;
         job.parcel.body = match body {
             Ok(body) => body.to_bytes(),
             Err(e) if e.is::<LengthLimitError>() => {
-                return Err((StatusCode::PAYLOAD_TOO_LARGE, "body over 64 KiB".to_owned()));
+                return Err(too_large);
             }
             Err(e) => return Err((StatusCode::BAD_REQUEST, format!("body: {e}"))),
         };
@@ -210,14 +219,26 @@
 /// Accepts client connections until the shutdown has closed the door; returns when all have ended.
 pub async fn serve(listener: TcpListener, front: Front, most: usize) {
     let places = Arc::new(Semaphore::new(most));
+    let retire = Arc::new(Notify::new());
     loop {
+        // Biased: what has come before the door closes is still taken from the queue of the listener, for
+        // closing that would reset it.
         let stream = tokio::select! {
             biased;
             accepted = listener.accept() => accepted,
             () = front.shutdown.closing() => break,
         };
         match stream {
-            Ok((stream, _)) => admit(stream, &front, &places).await,
+            Ok((stream, _)) => {
+                if places.available_permits() <= most / 8 {
+                    retire.notify_one();
+                }
+                let Ok(place) = places.clone().acquire_owned().await else { return };
+                front.counters.accepted.add();
+                let _ = stream.set_nodelay(true);
+                let front = Front { under_way: Arc::default(), ..front.clone() };
+                tokio::spawn(connection(stream, front, place, retire.clone()));
+            }
             Err(e) => {
                 // Out of descriptors, or a client that left while it waited: neither may end the program,
                 // and without a pause the first would spin it.
@@ -231,30 +252,34 @@
     let _ = places.acquire_many(most as u32).await;
 }
 
-async fn admit(stream: TcpStream, front: &Front, places: &Arc<Semaphore>) {
-    let Ok(place) = places.clone().acquire_owned().await else { return };
-    front.counters.accepted.add();
-    let _ = stream.set_nodelay(true);
-    tokio::spawn(connection(stream, front.clone(), place));
-}
-
-async fn connection(stream: TcpStream, front: Front, place: OwnedSemaphorePermit) {
-    let shutdown = front.shutdown.clone();
+/// One client connection. Where places run short the ones longest here are retired, one for each that
+/// comes: an idle one closes at once, which the protocol allows, a busy one after its answer.
+async fn connection(stream: TcpStream, front: Front, place: OwnedSemaphorePermit, retire: Arc<Notify>) {
+    let (shutdown, under_way) = (front.shutdown.clone(), front.under_way.clone());
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD)
         .max_buf_size(LARGEST_HEAD)
         .serve_connection(TokioIo::new(stream), TowerToHyperService::new(front));
     let mut connection = std::pin::pin!(connection);
-    let ended = tokio::select! {
-        ended = connection.as_mut() => ended,
-        () = shutdown.closing() => {
-            // Ends at once where nothing is under way, and else after the answer.
-            connection.as_mut().graceful_shutdown();
-            connection.await
-        }
+    let mut ended = tokio::select! {
+        ended = connection.as_mut() => Some(ended),
+        () = retire.notified() => None,
+        () = shutdown.closing() => None,
     };
-    if let Err(e) = ended {
+    if ended.is_none() {
+        connection.as_mut().graceful_shutdown();
+    }
+    while ended.is_none() {
+        ended = match timeout(LAST_HEAD, connection.as_mut()).await {
+            Ok(ended) => Some(ended),
+            // One that never sent a request is not idle to hyper, which would wait for its first head.
+            // Held are two: by this function and by the service. A call under way holds one more.
+            Err(_) if Arc::strong_count(&under_way) <= 2 => break,
+            Err(_) => None,
+        };
+    }
+    if let Some(Err(e)) = ended {
         debug!(error = %e, "client connection ended");
     }
     drop(place);
--- a/daemon/tests/exchanges.rs
+++ b/daemon/tests/exchanges.rs
@@ -2,8 +2,8 @@
 //!
 //! A file is a list of blocks, each `--- WHO VERB`, then lines. WHO is a service client (`c1`), a connection
 //! to an instance (`a.1`, in the order of accepting), the watch (`d.1`) or the `program`. Verbs:
-//! `sends` (the lines with CR LF), `gets` (one whole message, compared; `*` stands for anything), `chunk`
-//! (the lines as one chunk), `ends` (the last chunk), `closes` (with a reset if so given), `closed`. The
+//! `connects`, `sends` (the lines with CR LF), `gets` (one whole message, compared; `*` stands for anything), `chunk`
+//! (each line as a chunk), `ends` (the last chunk), `closes` (with a reset if so given), `closed`. The
 //! program: `config` (replacements `OLD -> NEW` in config.json), `knows` (instances), `stops` (SIGTERM),
 //! `prints` (SIGUSR1), `logs` (waits for a line like it), `exits` (with that status).
 
@@ -13,12 +13,12 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{channel, Receiver};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use rstest::rstest;
 
 /// Only so that a broken program fails the test instead of hanging it.
-const PATIENCE: Duration = Duration::from_secs(20);
+const PATIENCE: Duration = Duration::from_secs(10);
 
 struct Play {
     config: String,
@@ -138,7 +138,8 @@
             return;
         }
         let mut seen = vec![];
-        while let Ok(line) = lines.recv_timeout(PATIENCE) {
+        let end = Instant::now() + PATIENCE;
+        while let Ok(line) = lines.recv_timeout(end.saturating_duration_since(Instant::now())) {
             if like(pattern, &line) {
                 return;
             }
@@ -188,6 +189,7 @@
                     self.write(who, format!("{:x}\r\n{line}\n\r\n", line.len() + 1).as_bytes());
                 }
             }
+            (_, "connects") => drop(self.stream(who)),
             (_, "ends") => self.write(who, b"0\r\n\r\n"),
             (_, "closes") => self.stream(who).get_mut().shutdown(Shutdown::Both).expect("to close"),
             (_, "closed") => {
