--- a/daemon/src/service_client.rs
+++ b/daemon/src/service_client.rs
@@ -273,8 +273,7 @@
     while ended.is_none() {
         ended = match timeout(LAST_HEAD, connection.as_mut()).await {
             Ok(ended) => Some(ended),
-            // One that never sent a request is not idle to hyper, which would wait for its first head.
-            // Held are two: by this function and by the service. A call under way holds one more.
+            // One with half a head is not idle to hyper, which would wait for the rest. Held are two: by this function and by the service. A call under way holds one more.
             Err(_) if Arc::strong_count(&under_way) <= 2 => break,
             Err(_) => None,
         };
--- a/daemon/tests/exchanges.rs
+++ b/daemon/tests/exchanges.rs
@@ -2,7 +2,7 @@
 //!
 //! A file is a list of blocks, each `--- WHO VERB`, then lines. WHO is a service client (`c1`), a connection
 //! to an instance (`a.1`, in the order of accepting), the watch (`d.1`) or the `program`. Verbs:
-//! `connects`, `sends` (the lines with CR LF), `gets` (one whole message, compared; `*` stands for anything), `chunk`
+//! `sends` (the lines with CR LF), `gets` (one whole message, compared; `*` stands for anything), `chunk`
 //! (each line as a chunk), `ends` (the last chunk), `closes` (with a reset if so given), `closed`. The
 //! program: `config` (replacements `OLD -> NEW` in config.json), `knows` (instances), `stops` (SIGTERM),
 //! `prints` (SIGUSR1), `logs` (waits for a line like it), `exits` (with that status).
@@ -189,7 +189,6 @@
                     self.write(who, format!("{:x}\r\n{line}\n\r\n", line.len() + 1).as_bytes());
                 }
             }
-            (_, "connects") => drop(self.stream(who)),
             (_, "ends") => self.write(who, b"0\r\n\r\n"),
             (_, "closes") => self.stream(who).get_mut().shutdown(Shutdown::Both).expect("to close"),
             (_, "closed") => {
