Read the configuration again on SIGHUP and move the watch to its new discovery

Now all signals are installed before the configuration is read, so none can end a program that looks ready. SIGHUP decodes the whole file again; unless it is sound nothing of it counts. The file goes before RELAY_DISCOVERY, which is as old as the process. A new address drops the old watch and begins one there at once from the last version; while 4 s have not passed, one that fails is begun again after 0.25 s without the module's longer pause. A first answer is waited for 1.5 s and no longer 5 s: discovery gives up calls after 1 s in its queue.

--- a/daemon/src/config.rs
+++ b/daemon/src/config.rs
@@ -104,6 +104,13 @@
     }
 }
 
+/// What a running scheduler takes from its file when told to read it again: where discovery is. The file must
+/// be sound as a whole, and goes before `RELAY_DISCOVERY`, which is as old as the process.
+pub fn discovery_again(env: impl Fn(&str) -> Option<String>) -> Result<SocketAddr, String> {
+    let env = |name: &str| env(name).filter(|_| name != "RELAY_DISCOVERY");
+    Config::load(env).map(|config| config.discovery)
+}
+
 fn time(object: &Field, name: &str, default: u64) -> Result<u64, String> {
     let Some(field) = object.opt(name)? else { return Ok(default) };
     match field.whole()? {
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -16,7 +16,7 @@
 
 use nickelflow::Dispatcher;
 use tokio::net::{TcpListener, TcpSocket};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tracing::info;
 
 use crate::config::Config;
@@ -41,13 +41,14 @@
 /// Serves until the shutdown has run its course and all that was taken is answered.
 pub async fn run(
     config: Config,
+    discovery: watch::Receiver<SocketAddr>,
     listener: TcpListener,
     counters: Shared,
     shutdown: Shutdown,
 ) -> Result<(), String> {
     let dispatcher = Dispatcher::new(config.settings, config.seed).map_err(|e| format!("settings: {e}"))?;
     let (queue, inputs) = mpsc::unbounded_channel();
-    let (watch, asked) = mpsc::unbounded_channel();
+    let (ask, asked) = mpsc::unbounded_channel();
     let shared = config.sockets.saturating_sub(RESERVED).max(16);
     let for_instances = shared * 2 / 5;
     let instances = Instances::new(for_instances, config.links, counters.clone(), queue.clone());
@@ -57,9 +58,9 @@
         Order::Probe { instance, address } => {
             drop(tokio::spawn(instances.clone().probe(instance, address)));
         }
-        Order::Watch => drop(watch.send(())),
+        Order::Watch => drop(ask.send(())),
     };
-    let table = NameTable { discovery: config.discovery, words: config.words, queue: queue.clone(), asked };
+    let table = NameTable { discovery, words: config.words, queue: queue.clone(), asked };
     tokio::spawn(table.run(config.known));
     let core = Core::new(dispatcher, Clock::start(), counters.clone(), carry_out);
     let core = tokio::spawn(core.run(inputs));
--- a/daemon/src/name_table.rs
+++ b/daemon/src/name_table.rs
@@ -1,14 +1,14 @@
 //! The name table: the list of instances as discovery tells it. It begins with what the scheduler knew at
-//! its start, and is kept by a watch whenever the module asks for one.
+//! its start, and is kept by a watch whenever the module asks for one, or discovery moves.
 
 use std::net::{Ipv4Addr, SocketAddr};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{header, Request, StatusCode};
 use nickelflow::{ListKind, Membership};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time::timeout;
 use tracing::{info, warn};
 
@@ -20,6 +20,12 @@
 /// watch that has been silent for well over that is dead.
 const SILENT: Duration = Duration::from_secs(5);
 const CONNECT: Duration = Duration::from_secs(1);
+/// Discovery gives up a call that waits over a second in its queue, so that one unanswered for longer is lost.
+const ANSWER: Duration = Duration::from_millis(1500);
+/// After a move of discovery what it has to tell counts as told 4 s later. The watch at the new address is
+/// begun at once, and for this long it is begun again after a short pause, without the module's longer one.
+const MOVING: Duration = Duration::from_secs(4);
+const MOVE_PAUSE: Duration = Duration::from_millis(250);
 const LONGEST_LINE: usize = 4 << 20;
 
 /// The names that stand in the list for the module's numbers.
@@ -80,21 +86,27 @@
 }
 
 pub struct NameTable<P> {
-    pub discovery: SocketAddr,
+    /// Where discovery is, and whether it has moved.
+    pub discovery: watch::Receiver<SocketAddr>,
     pub words: Words,
     pub queue: mpsc::UnboundedSender<Input<P>>,
     /// The module's requests for a watch.
     pub asked: mpsc::UnboundedReceiver<()>,
 }
 
+/// What calls for a watch.
+enum Call {
+    Asked,
+    Moved,
+}
+
 impl<P> NameTable<P> {
     pub async fn run(mut self, known: List) {
         let mut index = known.index;
         self.tell(ListKind::Saved, known.entries);
-        while self.asked.recv().await.is_some() {
-            let why = self.follow(&mut index).await;
-            warn!(why, "watch ended");
-            self.tell(ListKind::Failed, vec![]);
+        let mut call = self.call().await;
+        while let Some(called) = call {
+            call = self.follow(&mut index, called).await;
         }
     }
 
@@ -102,22 +114,48 @@
         let _ = self.queue.send(Input::Listed { kind, entries });
     }
 
-    /// Watches from the given version on; returns why the watch ended.
-    async fn follow(&self, index: &mut u64) -> String {
-        match self.watch(index).await {
-            Ok(()) => "discovery ended it".to_owned(),
-            Err(why) => why,
+    /// Waits until the module asks for a watch, or discovery has moved; `None` at the end of the core.
+    async fn call(&mut self) -> Option<Call> {
+        tokio::select! {
+            asked = self.asked.recv() => asked.map(|()| Call::Asked),
+            () = moved(&mut self.discovery) => Some(Call::Moved),
+        }
+    }
+
+    /// Keeps a watch, from the given version on, until it has ended and another is called for.
+    async fn follow(&mut self, index: &mut u64, call: Call) -> Option<Call> {
+        let since = Instant::now();
+        let mut discovery = self.discovery.clone();
+        loop {
+            let address = *self.discovery.borrow_and_update();
+            discovery.mark_unchanged();
+            let why = tokio::select! {
+                ended = self.watch(address, index) => ended.err(),
+                () = moved(&mut discovery) => return Some(Call::Moved),
+            };
+            warn!(%address, why = why.as_deref().unwrap_or("discovery ended it"), "watch ended");
+            if matches!(call, Call::Asked) || since.elapsed() > MOVING {
+                break;
+            }
+            tokio::select! {
+                () = tokio::time::sleep(MOVE_PAUSE) => {}
+                () = moved(&mut discovery) => return Some(Call::Moved),
+            }
         }
+        // What the module asked for while the watch was on, it asks for again after this.
+        while self.asked.try_recv().is_ok() {}
+        self.tell(ListKind::Failed, vec![]);
+        self.call().await
     }
 
-    async fn watch(&self, index: &mut u64) -> Result<(), String> {
-        let mut connection = Connection::open(self.discovery, CONNECT).await?;
+    async fn watch(&self, address: SocketAddr, index: &mut u64) -> Result<(), String> {
+        let mut connection = Connection::open(address, CONNECT).await?;
         let request = Request::get(format!("/v1/servers?follow=1&since={index}"))
-            .header(header::HOST, self.discovery.to_string())
+            .header(header::HOST, address.to_string())
             .body(Full::<Bytes>::default())
             .map_err(|e| e.to_string())?;
         let silent = |_| "silent for too long".to_owned();
-        let answer = timeout(SILENT, connection.send(request)).await.map_err(silent)?;
+        let answer = timeout(ANSWER, connection.send(request)).await.map_err(silent)?;
         let answer = answer.map_err(|broken| broken.why.to_string())?;
         if answer.status() != StatusCode::OK {
             return Err(format!("status {}", answer.status().as_u16()));
@@ -142,3 +180,10 @@
         Ok(())
     }
 }
+
+/// Returns once discovery has moved; never if nothing is left that could move it.
+async fn moved(discovery: &mut watch::Receiver<SocketAddr>) {
+    if discovery.changed().await.is_err() {
+        std::future::pending::<()>().await;
+    }
+}
--- a/daemon/src/shutdown.rs
+++ b/daemon/src/shutdown.rs
@@ -1,9 +1,10 @@
-//! The planned end: SIGTERM or SIGINT, then a while in which clients that have not heard of it are still
-//! served as ever, then the door is closed and what has been taken is answered.
+//! All signals. The planned end: SIGTERM or SIGINT, then a while in which clients that have not heard of it
+//! are still served as ever, then the door is closed and what has been taken is answered. SIGHUP: the
+//! configuration is read again. SIGUSR1: the counters are printed.
 
 use std::time::Duration;
 
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::watch;
 use tracing::info;
 
@@ -55,16 +56,34 @@
     }
 }
 
-/// Waits for the signal to end; prints the counters on each SIGUSR1 meanwhile.
-pub async fn signalled(counters: Shared) -> std::io::Result<()> {
-    let mut term = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let mut print = signal(SignalKind::user_defined1())?;
-    loop {
-        tokio::select! {
-            _ = term.recv() => return Ok(()),
-            _ = interrupt.recv() => return Ok(()),
-            _ = print.recv() => info!("counters: {counters}"),
+/// The signals that this program takes. Until they are installed, each of them ends it.
+pub struct Signals {
+    term: Signal,
+    interrupt: Signal,
+    hangup: Signal,
+    print: Signal,
+}
+
+impl Signals {
+    pub fn install() -> std::io::Result<Signals> {
+        Ok(Signals {
+            term: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            hangup: signal(SignalKind::hangup())?,
+            print: signal(SignalKind::user_defined1())?,
+        })
+    }
+
+    /// Waits for the signal to end; meanwhile calls `read_again` on each SIGHUP, and prints the counters on
+    /// each SIGUSR1.
+    pub async fn end(mut self, counters: Shared, read_again: impl Fn()) {
+        loop {
+            tokio::select! {
+                _ = self.term.recv() => return,
+                _ = self.interrupt.recv() => return,
+                _ = self.hangup.recv() => read_again(),
+                _ = self.print.recv() => info!("counters: {counters}"),
+            }
         }
     }
 }
--- a/daemon/tests/exchanges.rs
+++ b/daemon/tests/exchanges.rs
@@ -5,7 +5,8 @@
 //! `sends` (the lines with CR LF), `gets` (one whole message, compared; `*` stands for anything), `chunk`
 //! (each line as a chunk), `ends` (the last chunk), `closes` (with a reset if so given), `closed`. The
 //! program: `config` (replacements `OLD -> NEW` in config.json), `knows` (instances), `stops` (SIGTERM),
-//! `prints` (SIGUSR1), `logs` (waits for a line like it), `exits` (with that status).
+//! `prints` (SIGUSR1), `rereads` (a new file and
+//! SIGHUP: the name of a new discovery, or the file as it stands), `logs` (waits for a line like it), `exits` (with that status).
 
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -22,6 +23,7 @@
 
 struct Play {
     config: String,
+    file: PathBuf,
     known: Vec<String>,
     listeners: HashMap<String, TcpListener>,
     streams: HashMap<String, BufReader<TcpStream>>,
@@ -34,6 +36,7 @@
             let _ = child.kill();
             let _ = child.wait();
         }
+        let _ = std::fs::remove_file(&self.file);
     }
 }
 
@@ -60,15 +63,12 @@
         if self.program.is_some() {
             return;
         }
-        let discovery = self.listener("d");
-        let known = self.known.clone().into_iter().map(|name| self.entry(&name));
-        let known = known.collect::<Vec<_>>().join(",");
-        let config = self.config.replace("@discovery", &discovery).replace("@known", &known);
-        let path = std::env::temp_dir().join(format!("nickelflow-{}.json", discovery.replace(':', "-")));
-        std::fs::write(&path, config).expect("a config file");
+        let own = self.listener("d").replace(':', "-");
+        self.file = std::env::temp_dir().join(format!("nickelflow-{own}.json"));
+        self.write_config("d");
         let mut child = Command::new(env!("CARGO_BIN_EXE_nickelflow"))
             .env_clear()
-            .env("RELAY_CONFIG", &path)
+            .env("RELAY_CONFIG", &self.file)
             .stderr(Stdio::piped())
             .spawn()
             .expect("the program starts");
@@ -77,13 +77,20 @@
         std::thread::spawn(move || log.lines().map_while(Result::ok).try_for_each(|line| sender.send(line)));
         let first = lines.recv_timeout(PATIENCE).expect("a first line");
         let address = first.rsplit("listen=").next().unwrap_or_default().to_owned();
-        std::fs::remove_file(path).expect("to remove the config file");
         if !first.contains("listen=") {
             eprintln!("{first}");
         }
         self.program = Some((child, lines, if first.contains("listen=") { address } else { first }));
     }
 
+    fn write_config(&mut self, discovery: &str) {
+        let known = self.known.clone().into_iter().map(|name| self.entry(&name));
+        let known = known.collect::<Vec<_>>().join(",");
+        let discovery = self.listener(discovery);
+        let config = self.config.replace("@discovery", &discovery).replace("@known", &known);
+        std::fs::write(&self.file, config).expect("a config file");
+    }
+
     /// An entry of the list: the name, then what differs from the usual.
     fn entry(&mut self, text: &str) -> String {
         let (name, status) = text.split_once(' ').unwrap_or((text, "active"));
@@ -169,6 +176,13 @@
         match (who, verb) {
             ("program", "stops") => self.signal("-TERM"),
             ("program", "prints") => self.signal("-USR1"),
+            ("program", "rereads") => {
+                match lines[0].strip_prefix('{') {
+                    Some(_) => std::fs::write(&self.file, lines[0]).expect("a config file"),
+                    None => self.write_config(lines[0]),
+                }
+                self.signal("-HUP");
+            }
             ("program", "logs") => lines.iter().for_each(|line| self.logs(line)),
             ("program", "exits") => {
                 let status = self.program.as_mut().expect("a program").0.wait().expect("its status");
@@ -213,8 +227,14 @@
     let text = std::fs::read_to_string(&path).expect("the exchange");
     let config = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/config.json");
     let config = std::fs::read_to_string(config).expect("the config");
-    let mut play =
-        Play { config, known: vec![], listeners: HashMap::new(), streams: HashMap::new(), program: None };
+    let mut play = Play {
+        config,
+        file: PathBuf::new(),
+        known: vec![],
+        listeners: HashMap::new(),
+        streams: HashMap::new(),
+        program: None,
+    };
     for block in text.split("--- ").skip(1) {
         let mut lines = block.lines().collect::<Vec<_>>();
         // A comment, or the empty line that parts two blocks; a message's own empty line stands as a dot.
