End a request that an instance answers 400, and keep the instance open for it

Ruled out: ids out of the wrong place, a broken body, a lost header.

At fault: execution.rs (`head_outcome`) told the module Error, and rules.rs (`outcome`) took that for a failing worker: it shut the instance until its next probe, ever longer, and passed the request to the next one, up to four. Each request of a bad client so closed up to four good instances to everybody.

Now 400 is an outcome of its own, Unusable: it never ran, the instance stays open, the request fails at once, and the share of its tenant is given back.

--- a/daemon/src/counters.rs
+++ b/daemon/src/counters.rs
@@ -25,7 +25,7 @@
 
 counters! {
     taken, served, refused, failed, client_gone, rejected,
-    sent, sent_ok, sent_error, sent_full, sent_timeout, sent_connect_failed, sent_reset, sent_cancelled,
+    sent, sent_ok, sent_error, sent_full, sent_unusable, sent_timeout, sent_connect_failed, sent_reset, sent_cancelled,
     sent_not_sent, cancels, probes, probes_ok, watches, lists, connects, reuses, accepted, accept_errors,
 }
 
@@ -50,6 +50,7 @@
             Outcome::Ok => &self.sent_ok,
             Outcome::Error => &self.sent_error,
             Outcome::Full => &self.sent_full,
+            Outcome::Unusable => &self.sent_unusable,
             Outcome::Timeout => &self.sent_timeout,
             Outcome::ConnectFailed => &self.sent_connect_failed,
             Outcome::Reset => &self.sent_reset,
--- a/daemon/src/execution.rs
+++ b/daemon/src/execution.rs
@@ -298,6 +298,7 @@
     match answer.status().as_u16() {
         200 => None,
         503 | 504 if unstarted => Some(Outcome::Full),
+        400 => Some(Outcome::Unusable),
         500 | 503 | 504 => Some(Outcome::Error),
         status => {
             warn!(status, "unexpected status from an instance");
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -149,6 +149,8 @@
     Error,
     /// Sent away unseen: its queue is full, or it drains.
     Full,
+    /// Sent away as nothing that any worker could run: at fault is the request, and not the worker.
+    Unusable,
     Timeout,
     ConnectFailed,
     Reset,
@@ -160,7 +162,7 @@
 impl Outcome {
     /// Whether this outcome proves that the attempt never ran.
     pub fn never_ran(self) -> bool {
-        matches!(self, Outcome::Full | Outcome::ConnectFailed | Outcome::NotSent)
+        matches!(self, Outcome::Full | Outcome::Unusable | Outcome::ConnectFailed | Outcome::NotSent)
     }
 }
 
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -465,6 +465,11 @@
             Effect::Safe | Effect::Keyed(Group::All) => true,
             _ => job.attempts.iter().all(|a| !a.maybe_ran),
         };
+        self.finish(id, harmless, actions);
+    }
+
+    fn finish(&mut self, id: RequestId, harmless: bool, actions: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get(&id) else { return };
         if harmless {
             let retry_after = self.settings.max_retry_after;
             actions.push(Action::Refuse { request: id, retry_after });
@@ -684,7 +689,7 @@
                 Outcome::Full => worker.failed(FORGIVE),
                 // Cancelled for its silence: the worker may hang, and must not look idle for it.
                 Outcome::Cancelled if first && quiet => worker.failed(1.0),
-                Outcome::Cancelled | Outcome::NotSent => {}
+                Outcome::Unusable | Outcome::Cancelled | Outcome::NotSent => {}
             }
             if !matches!(outcome, Outcome::Timeout | Outcome::Cancelled | Outcome::NotSent) {
                 worker.heard(self.now, first);
@@ -702,6 +707,13 @@
             job.over |= finished;
             if job.over {
                 self.end(id);
+            } else if outcome == Outcome::Unusable {
+                // Any other worker would say the same, and so would they to the client's next try.
+                let spent = job.request.tenant.filter(|_| !job.over_share);
+                if let Some(view) = spent.and_then(|tenant| self.tenants.get_mut(tenant as usize)) {
+                    view.tokens += 1.0;
+                }
+                self.finish(id, false, actions);
             } else if job.attempts.iter().all(|a| !a.out) {
                 self.dispatch(id, actions);
             }
