Read clients' requests by their bytes, bound their waits, and shed newcomers by rank

A second request with an open id was sent on. When places ran short the connection longest there was told to go, so that silent newcomers pushed out good clients, and `accept` waited for a place (service_client.rs, `serve`).

Now inlet.rs keeps each head back until it is whole and sound, parsed with the parser that hyper uses; refused heads (400, 431) never reach hyper. A request must be whole 2.5 s after its first byte, else 408; idling between requests stays at 75 s. An open id gets 409. places.rs sheds whoever never sent a usable request, then who idled longest, never a call under way, and turns newcomers away at once where all are busy. An answer is followed by a bounded drain, for closing with input unread resets the connection. Heads are limited to 16 KiB, for memory may be 32 MB.

--- /dev/null
+++ b/daemon/src/inlet.rs
@@ -0,0 +1,327 @@
+//! Reading a service client's requests by their bytes, before hyper does.
+//!
+//! hyper hides from the service some of what makes a request ambiguous: of `Content-Length` and
+//! `Transfer-Encoding` together it drops the former, and of several equal lengths all but one. What reads such
+//! a request otherwise would find another request in its body. So each head is kept back until it is whole
+//! and sound, and hyper gets no byte beyond the one request that it announces.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{ready, Context, Poll};
+use std::time::{Duration, Instant};
+
+use bytes::{Buf, BytesMut};
+use hyper::StatusCode;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+
+pub const LARGEST_BODY: u64 = 64 << 10;
+/// Heads are kept in memory for each connection, and memory may be 32 MB for hundreds of them.
+pub const LARGEST_HEAD: usize = 16 << 10;
+const MOST_HEADERS: usize = 100;
+/// For how long a client may take over a request, from its first byte or, for the first, from connecting:
+/// one that does not get on is owed an error or a close within 3 s of connecting.
+pub const WHOLE: Duration = Duration::from_millis(2500);
+/// For how long a client may stay between requests.
+const IDLE: Duration = Duration::from_secs(75);
+/// For how long hyper may take to be done after the last answer.
+const CLOSING: Duration = Duration::from_millis(200);
+
+/// What is known of one client's connection, for its stream, the service behind it, and the front.
+pub struct Visit {
+    began: Instant,
+    state: Mutex<State>,
+    /// Told to end, so that another finds a place.
+    pub shed: Notify,
+}
+
+struct State {
+    /// Since when a request has been coming in that is not whole yet.
+    reading: Option<Instant>,
+    /// Whether any byte of it has come.
+    begun: bool,
+    /// Whether a call is under way.
+    busy: bool,
+    idle_since: Instant,
+    /// Whether it has ever brought a request that could be used.
+    proven: bool,
+    shedding: bool,
+    /// Nothing behind the present request is read.
+    last: bool,
+    refusal: Option<Refusal>,
+}
+
+/// Why a head is refused by its bytes.
+#[derive(Clone, Copy)]
+pub struct Refusal(pub StatusCode, pub &'static str);
+
+const TOO_LARGE: Refusal = Refusal(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE, "head over 16 KiB");
+const MALFORMED: Refusal = Refusal(StatusCode::BAD_REQUEST, "malformed head");
+const BAD_LENGTH: Refusal = Refusal(StatusCode::BAD_REQUEST, "content-length: must be one whole number");
+const BAD_ENCODING: Refusal = Refusal(StatusCode::BAD_REQUEST, "transfer-encoding: must be chunked, once");
+const TWO_FRAMINGS: Refusal = Refusal(StatusCode::BAD_REQUEST, "content-length and transfer-encoding");
+
+impl Visit {
+    pub fn begin() -> Arc<Visit> {
+        let began = Instant::now();
+        let state = State {
+            reading: Some(began),
+            begun: false,
+            busy: false,
+            idle_since: began,
+            proven: false,
+            shedding: false,
+            last: false,
+            refusal: None,
+        };
+        Arc::new(Visit { began, state: Mutex::new(state), shed: Notify::new() })
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// A call on it is under way until what this gives is dropped.
+    pub fn call(self: &Arc<Self>) -> Call {
+        self.state().busy = true;
+        Call(self.clone())
+    }
+
+    /// It has brought a request that can be used.
+    pub fn prove(&self) {
+        self.state().proven = true;
+    }
+
+    pub fn busy(&self) -> bool {
+        self.state().busy
+    }
+
+    /// Whether all of the present request has come.
+    pub fn whole(&self) -> bool {
+        self.state().reading.is_none()
+    }
+
+    /// Whether part of a request has come that is not under way.
+    pub fn half(&self) -> bool {
+        let state = self.state();
+        !state.busy && state.reading.is_some() && state.begun
+    }
+
+    /// Takes note of the answer to the present request; whether the connection must end with it.
+    pub fn answered(&self) -> bool {
+        let mut state = self.state();
+        state.last |= state.reading.is_some();
+        (state.reading, state.begun) = (None, false);
+        state.last
+    }
+
+    pub fn refusal(&self) -> Option<Refusal> {
+        self.state().refusal
+    }
+
+    /// When the present request must be whole.
+    pub fn whole_by(&self) -> Instant {
+        self.state().reading.unwrap_or(self.began) + WHOLE
+    }
+
+    /// When the client has taken too long, as things stand; `None` while the program is the one to act.
+    pub fn due(&self) -> Option<Instant> {
+        let state = self.state();
+        let from_idle = state.idle_since + if state.last { CLOSING } else { IDLE };
+        (!state.busy).then(|| state.reading.map_or(from_idle, |since| since + WHOLE))
+    }
+
+    /// The least comes first to be shed: whoever never sent a usable request, then who has been idle
+    /// longest. `None` while a call is under way, or it has been told already.
+    pub fn rank(&self) -> Option<(bool, Instant)> {
+        let state = self.state();
+        let free = !state.busy && !state.shedding;
+        free.then_some((state.proven, if state.proven { state.idle_since } else { self.began }))
+    }
+
+    pub fn shedding(&self) -> bool {
+        self.state().shedding
+    }
+
+    pub fn tell_to_end(&self) {
+        self.state().shedding = true;
+        self.shed.notify_one();
+    }
+}
+
+/// One call under way on a connection.
+pub struct Call(Arc<Visit>);
+
+impl Drop for Call {
+    fn drop(&mut self) {
+        let mut state = self.0.state();
+        state.busy = false;
+        state.idle_since = Instant::now();
+    }
+}
+
+/// The stream of one client, as hyper gets to see it.
+pub struct Inlet {
+    stream: TcpStream,
+    visit: Arc<Visit>,
+    buffer: BytesMut,
+    /// How many bytes, from the start of the buffer on, belong to the request that hyper may see.
+    pass: u64,
+    /// How much of the buffer has been looked at in vain for a head.
+    looked: usize,
+    ended: bool,
+}
+
+impl Inlet {
+    pub fn new(stream: TcpStream, visit: Arc<Visit>) -> Inlet {
+        Inlet { stream, visit, buffer: BytesMut::new(), pass: 0, looked: 0, ended: false }
+    }
+
+    pub fn into_stream(self) -> TcpStream {
+        self.stream
+    }
+
+    /// Reads once from the stream.
+    fn fill(&mut self, cx: &mut Context) -> Poll<io::Result<()>> {
+        let mut space = [0; 8 << 10];
+        let mut read = ReadBuf::new(&mut space);
+        ready!(Pin::new(&mut self.stream).poll_read(cx, &mut read))?;
+        self.ended = read.filled().is_empty();
+        self.buffer.extend_from_slice(read.filled());
+        Poll::Ready(Ok(()))
+    }
+
+    /// Looks for a whole head at the start of the buffer, and lets it and its body pass.
+    fn head(&mut self) {
+        let blank = self.buffer.iter().take_while(|b| matches!(b, b'\r' | b'\n')).count();
+        if self.looked == 0 {
+            self.buffer.advance(blank);
+        }
+        let mut state = self.visit.state();
+        if !self.buffer.is_empty() && !state.busy {
+            state.begun = true;
+            state.reading.get_or_insert_with(Instant::now);
+        }
+        // Parsed anew at each byte, a head that drips in would take the processor for itself.
+        let new = &self.buffer[self.looked..];
+        if new.is_empty() || self.looked > 0 && !new.contains(&b'\n') && self.buffer.len() < LARGEST_HEAD {
+            return;
+        }
+        self.looked = self.buffer.len();
+        match framing(&self.buffer) {
+            Ok(Some((head, Body::Length(length)))) => {
+                self.pass = head as u64 + length;
+                if length > LARGEST_BODY {
+                    (self.pass, state.last) = (u64::MAX, true);
+                }
+            }
+            // Where such a body ends is for hyper to say: nothing behind it is read.
+            Ok(Some((_, Body::Chunked))) => (self.pass, state.last) = (u64::MAX, true),
+            Ok(None) if self.buffer.len() < LARGEST_HEAD => {}
+            Ok(None) => state.refusal = Some(TOO_LARGE),
+            Err(refusal) => state.refusal = Some(refusal),
+        }
+    }
+}
+
+enum Body {
+    Length(u64),
+    Chunked,
+}
+
+/// The length of the head that the bytes begin with, and its body; `None` while it is not whole.
+fn framing(bytes: &[u8]) -> Result<Option<(usize, Body)>, Refusal> {
+    let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
+    let mut request = httparse::Request::new(&mut headers);
+    let head = match request.parse(bytes) {
+        Ok(httparse::Status::Complete(head)) => head,
+        Ok(httparse::Status::Partial) => return Ok(None),
+        Err(httparse::Error::TooManyHeaders) => return Err(TOO_LARGE),
+        Err(_) => return Err(MALFORMED),
+    };
+    let (mut length, mut chunked) = (None, false);
+    for header in request.headers.iter() {
+        if header.name.eq_ignore_ascii_case("content-length") {
+            let digits = std::str::from_utf8(header.value).ok();
+            let digits = digits.filter(|text| text.bytes().all(|b| b.is_ascii_digit()));
+            let value = digits.and_then(|text| text.parse().ok()).ok_or(BAD_LENGTH)?;
+            if length.replace(value).is_some() {
+                return Err(BAD_LENGTH);
+            }
+        } else if header.name.eq_ignore_ascii_case("transfer-encoding")
+            && (!header.value.eq_ignore_ascii_case(b"chunked") || std::mem::replace(&mut chunked, true))
+        {
+            return Err(BAD_ENCODING);
+        }
+    }
+    match (length, chunked) {
+        (Some(_), true) => Err(TWO_FRAMINGS),
+        (_, true) => Ok(Some((head, Body::Chunked))),
+        (length, _) => Ok(Some((head, Body::Length(length.unwrap_or(0))))),
+    }
+}
+
+impl AsyncRead for Inlet {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context, out: &mut ReadBuf) -> Poll<io::Result<()>> {
+        let inlet = self.get_mut();
+        loop {
+            if inlet.pass == 0 {
+                inlet.head();
+            }
+            if inlet.visit.refusal().is_some() {
+                // An error would also break off the call that is under way before it.
+                let broken = Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
+                return if inlet.visit.busy() { Poll::Pending } else { broken };
+            }
+            if inlet.pass > 0 && !inlet.buffer.is_empty() {
+                let most = inlet.buffer.len().min(out.remaining());
+                let n = most.min(usize::try_from(inlet.pass).unwrap_or(usize::MAX));
+                out.put_slice(&inlet.buffer[..n]);
+                inlet.buffer.advance(n);
+                inlet.pass -= n as u64;
+                inlet.looked = 0;
+                if inlet.pass == 0 {
+                    let mut state = inlet.visit.state();
+                    (state.reading, state.begun) = (None, false);
+                    state.idle_since = Instant::now();
+                }
+                if inlet.buffer.is_empty() {
+                    inlet.buffer = BytesMut::new();
+                }
+                return Poll::Ready(Ok(()));
+            }
+            if inlet.ended {
+                return Poll::Ready(Ok(()));
+            }
+            ready!(inlet.fill(cx))?;
+        }
+    }
+}
+
+impl AsyncWrite for Inlet {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context,
+        bytes: &[io::IoSlice],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bytes)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -6,8 +6,10 @@
 pub mod core;
 pub mod counters;
 pub mod execution;
+mod inlet;
 mod json;
 pub mod name_table;
+mod places;
 pub mod service_client;
 pub mod shutdown;
 
@@ -23,12 +25,13 @@
 use crate::core::{Clock, Core, Entrance, Order};
 use crate::counters::Shared;
 use crate::execution::Instances;
+use crate::inlet::Visit;
 use crate::name_table::NameTable;
-use crate::service_client::Front;
+use crate::service_client::{Front, OpenIds};
 use crate::shutdown::Shutdown;
 
 /// Descriptors that neither clients nor instances get: the listener, the watch, the runtime's own, the
-/// standard streams, and connections between their accept and their place.
+/// standard streams, and client connections that are closing while others have taken their places.
 const RESERVED: usize = 48;
 
 pub fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
@@ -71,10 +74,11 @@
         entrance: Entrance::new(queue),
         counters,
         shutdown,
-        under_way: Arc::default(),
+        open: OpenIds::default(),
+        visit: Visit::begin(),
     };
     tokio::select! {
-        () = service_client::serve(listener, front, shared - for_instances) => Ok(()),
+        () = places::serve(listener, front, shared - for_instances) => Ok(()),
         // It runs as long as the queue has senders: if it ends, the module has panicked.
         ended = core => Err(format!("the core ended: {ended:?}")),
     }
--- /dev/null
+++ b/daemon/src/places.rs
@@ -0,0 +1,211 @@
+//! Accepting service clients, and the places that they hold: who is shed when places run short, what a
+//! client is told that does not get on, and how a connection is closed.
+
+use std::collections::HashMap;
+use std::future::poll_fn;
+use std::future::Future;
+use std::pin::{pin, Pin};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::Poll;
+use std::time::{Duration, Instant};
+
+use hyper::server::conn::http1;
+use hyper::StatusCode;
+use hyper_util::rt::TokioIo;
+use hyper_util::service::TowerToHyperService;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+use tokio::time::{sleep_until, timeout};
+use tracing::{debug, warn};
+
+use crate::inlet::{Inlet, Refusal, Visit, LARGEST_HEAD};
+use crate::service_client::Front;
+
+/// For how long a connection that is to close may still bring the rest of a head.
+const LAST_HEAD: Duration = Duration::from_millis(200);
+/// Accepting goes on this long after it failed: descriptors come free meanwhile.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Connections beyond the places, while those that have been shed for them are closing.
+const SPARE: usize = 16;
+/// Closed with input unread, a connection is reset, and the client may lose the answer that it has not read:
+/// so much is still read, for so long.
+const DRAINED: usize = 256 << 10;
+const DRAIN: Duration = Duration::from_millis(500);
+
+const TOO_SLOW: Refusal = Refusal(StatusCode::REQUEST_TIMEOUT, "request not whole in time");
+const CROWDED: Refusal = Refusal(StatusCode::SERVICE_UNAVAILABLE, "too many connections");
+
+/// The connections of service clients.
+struct Places {
+    most: usize,
+    held: Mutex<Held>,
+    freed: Notify,
+}
+
+#[derive(Default)]
+struct Held {
+    next: u64,
+    visits: HashMap<u64, Arc<Visit>>,
+}
+
+/// One place; dropped, it is free.
+struct Place {
+    places: Arc<Places>,
+    number: u64,
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.places.held().visits.remove(&self.number);
+        self.places.freed.notify_one();
+    }
+}
+
+impl Places {
+    fn held(&self) -> MutexGuard<'_, Held> {
+        self.held.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// A place for a newcomer, for which another may be told to go; `None` if all are in use.
+    fn take(self: &Arc<Self>, visit: &Arc<Visit>) -> Option<Place> {
+        let mut held = self.held();
+        let staying = held.visits.values().filter(|visit| !visit.shedding()).count();
+        if staying >= self.most {
+            let ranked = held.visits.values().filter_map(|visit| Some((visit.rank()?, visit)));
+            ranked.min_by_key(|(rank, _)| *rank)?.1.tell_to_end();
+        }
+        if held.visits.len() >= self.most + SPARE {
+            return None;
+        }
+        let number = held.next;
+        held.next += 1;
+        held.visits.insert(number, visit.clone());
+        Some(Place { places: self.clone(), number })
+    }
+
+    async fn empty(&self) {
+        while !self.held().visits.is_empty() {
+            self.freed.notified().await;
+        }
+    }
+}
+
+/// Accepts client connections until the shutdown has closed the door; returns when all have ended.
+pub async fn serve(listener: TcpListener, front: Front, most: usize) {
+    let places = Arc::new(Places { most, held: Mutex::default(), freed: Notify::new() });
+    loop {
+        // Biased: what has come before the door closes is still taken from the queue of the listener, for
+        // closing that would reset it.
+        let stream = tokio::select! {
+            biased;
+            accepted = listener.accept() => accepted,
+            () = front.shutdown.closing() => break,
+        };
+        match stream {
+            Ok((stream, _)) => {
+                front.counters.accepted.add();
+                let _ = stream.set_nodelay(true);
+                let visit = Visit::begin();
+                let Some(place) = places.take(&visit) else {
+                    front.counters.turned_away.add();
+                    let _ = stream.try_write(&words(CROWDED));
+                    // Those that have been shed get to close before the next comes.
+                    tokio::task::yield_now().await;
+                    continue;
+                };
+                tokio::spawn(connection(stream, Front { visit, ..front.clone() }, place));
+            }
+            Err(e) => {
+                // Out of descriptors, or a client that left while it waited: neither may end the program,
+                // and without a pause the first would spin it.
+                front.counters.accept_errors.add();
+                warn!(error = %e, "accept failed");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+    drop(listener);
+    places.empty().await;
+}
+
+/// A whole answer to a request that hyper never gets to see.
+fn words(Refusal(status, why): Refusal) -> Vec<u8> {
+    let length = why.len() + 1;
+    format!("HTTP/1.1 {status}\r\nconnection: close\r\ncontent-length: {length}\r\n\r\n{why}\n").into_bytes()
+}
+
+/// One client connection. It ends by itself, or when its client takes too long over a request or stays away;
+/// told to end, an idle one closes at once, which the protocol allows, and a busy one after its answer.
+async fn connection(stream: TcpStream, front: Front, place: Place) {
+    let (shutdown, counters, visit) = (front.shutdown.clone(), front.counters.clone(), front.visit.clone());
+    let inlet = TokioIo::new(Inlet::new(stream, visit.clone()));
+    let mut connection = http1::Builder::new()
+        .max_buf_size(LARGEST_HEAD)
+        .header_read_timeout(None)
+        .serve_connection(inlet, TowerToHyperService::new(front));
+    let mut told = pin!(async {
+        tokio::select! {
+            () = visit.shed.notified() => {}
+            () = shutdown.closing() => {}
+        }
+    });
+    let (mut last_by, mut closing) = (None, false);
+    let mut timer = pin!(sleep_until(Instant::now().into()));
+    let late = poll_fn(|cx| {
+        if let Poll::Ready(ended) = connection.poll_without_shutdown(cx) {
+            if let Err(e) = ended {
+                debug!(error = %e, "client connection ended");
+            }
+            return Poll::Ready(false);
+        }
+        if last_by.is_none() && told.as_mut().poll(cx).is_ready() {
+            last_by = Some(Instant::now() + LAST_HEAD);
+        }
+        if visit.shedding() && !visit.busy() {
+            return Poll::Ready(true);
+        }
+        // To hyper, which has not seen it, half a head is nothing, and the connection idle.
+        if last_by.is_some() && !closing && !visit.half() {
+            closing = true;
+            Pin::new(&mut connection).graceful_shutdown();
+            cx.waker().wake_by_ref();
+        }
+        let due = visit.due().map(|due| last_by.map_or(due, |last| last.min(due)));
+        let Some(due) = due else { return Poll::Pending };
+        if timer.deadline() != due.into() {
+            timer.as_mut().reset(due.into());
+        }
+        timer.as_mut().poll(cx).map(|()| true)
+    })
+    .await;
+    let mut stream = connection.into_parts().io.into_inner().into_stream();
+    let refusal = match (late, visit.half()) {
+        (true, true) if visit.shedding() => Some(CROWDED),
+        (true, true) => Some(TOO_SLOW),
+        _ => visit.refusal(),
+    };
+    let close = async {
+        if let Some(refusal) = refusal {
+            counters.rejected.add();
+            debug!(status = refusal.0.as_u16(), why = refusal.1, "nack");
+            stream.write_all(&words(refusal)).await?;
+        }
+        stream.shutdown().await?;
+        // Another waits for the place of one that is shed.
+        let (mut space, mut left) = (vec![0; 4 << 10], if visit.shedding() { 0 } else { DRAINED });
+        while left > 0 {
+            match stream.read(&mut space).await? {
+                0 => break,
+                n => left = left.saturating_sub(n),
+            }
+        }
+        std::io::Result::Ok(())
+    };
+    // So may it be while it drains.
+    tokio::select! {
+        _ = timeout(DRAIN, close) => {}
+        () = visit.shed.notified() => {}
+    }
+    drop(place);
+}
--- a/daemon/src/service_client.rs
+++ b/daemon/src/service_client.rs
@@ -1,44 +1,32 @@
-//! The service clients' side: the front that takes jobs over HTTP and gives each its single final answer.
+//! The service clients' side: the service that takes jobs over HTTP and gives each its single final answer.
 
+use std::collections::HashSet;
 use std::convert::Infallible;
 use std::future::Future;
 use std::pin::Pin;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
-use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_TYPE, RETRY_AFTER};
+use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONNECTION, CONTENT_TYPE, RETRY_AFTER};
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
-use hyper_util::service::TowerToHyperService;
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
-use tokio::time::timeout;
+use tokio::time::timeout_at;
 use tower::Service;
-use tracing::{debug, warn};
+use tracing::debug;
 
 use crate::config::Names;
 use crate::core::{hash, Answer, Entrance, Job};
 use crate::counters::Shared;
 use crate::execution::Parcel;
+use crate::inlet::{Visit, LARGEST_BODY};
 use crate::shutdown::Shutdown;
 
-const LARGEST_BODY: usize = 64 << 10;
-const LARGEST_HEAD: usize = 64 << 10;
-/// For how long a client may take over a head, or stay idle between requests.
-const HEAD: Duration = Duration::from_secs(75);
-/// For how long a client may take over a body.
-const BODY: Duration = Duration::from_secs(10);
 /// The longest wait that a client may ask for.
 const LONGEST_WAIT: f64 = 3600.0;
-/// For how long a connection that is to close may still bring the rest of a head.
-const LAST_HEAD: Duration = Duration::from_millis(200);
-/// Accepting goes on this long after it failed: descriptors come free meanwhile.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 type Reply = Response<Full<Bytes>>;
 
@@ -49,8 +37,32 @@
     pub entrance: Entrance<Parcel>,
     pub counters: Shared,
     pub shutdown: Shutdown,
-    /// One for each connection; every call under way on it holds a clone.
-    pub under_way: Arc<()>,
+    /// The ids of all requests that are open here.
+    pub open: OpenIds,
+    /// The connection that it serves.
+    pub visit: Arc<Visit>,
+}
+
+#[derive(Clone, Default)]
+pub struct OpenIds(Arc<Mutex<HashSet<HeaderValue>>>);
+
+impl OpenIds {
+    fn ids(&self) -> MutexGuard<'_, HashSet<HeaderValue>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Opens an id until what this gives is dropped; `None` if it is open already.
+    fn open(&self, id: &HeaderValue) -> Option<OpenId> {
+        self.ids().insert(id.clone()).then(|| OpenId(self.clone(), id.clone()))
+    }
+}
+
+struct OpenId(OpenIds, HeaderValue);
+
+impl Drop for OpenId {
+    fn drop(&mut self) {
+        self.0.ids().remove(&self.1);
+    }
 }
 
 impl Service<Request<Incoming>> for Front {
@@ -64,7 +76,16 @@
 
     fn call(&mut self, request: Request<Incoming>) -> Self::Future {
         let front = self.clone();
-        Box::pin(async move { Ok(front.serve(request).await) })
+        let call = self.visit.call();
+        Box::pin(async move {
+            let mut reply = front.serve(request).await;
+            // What comes behind a request that is not whole cannot be told from its body.
+            if front.visit.answered() {
+                reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            }
+            drop(call);
+            Ok(reply)
+        })
     }
 }
 
@@ -84,6 +105,7 @@
     }
 
     fn health(&self) -> Reply {
+        self.visit.prove();
         if self.entrance.open() && !self.shutdown.begun() {
             reply(StatusCode::OK, "ok\n")
         } else {
@@ -100,21 +122,14 @@
     async fn job(&self, request: Request<Incoming>) -> Result<Reply, Nack> {
         let came = Instant::now();
         let (parts, body) = request.into_parts();
-        let mut job = self.read(parts, came).map_err(|why| (StatusCode::BAD_REQUEST, why))?;
-        let too_large = (StatusCode::PAYLOAD_TOO_LARGE, "body over 64 KiB".to_owned());
-        // Announced as too large, it is not waited for: the client may well wait for the answer.
-        if body.size_hint().lower() > LARGEST_BODY as u64 {
-            return Err(too_large);
-        }
-        let body = timeout(BODY, Limited::new(body, LARGEST_BODY).collect()).await;
-        let body = body.map_err(|_| (StatusCode::REQUEST_TIMEOUT, "body not whole in time".to_owned()))?;
-        job.parcel.body = match body {
-            Ok(body) => body.to_bytes(),
-            Err(e) if e.is::<LengthLimitError>() => {
-                return Err(too_large);
-            }
-            Err(e) => return Err((StatusCode::BAD_REQUEST, format!("body: {e}"))),
-        };
+        let job = self.read(parts, came).map_err(|why| (StatusCode::BAD_REQUEST, why));
+        // Where the answer is known, a body that is not there yet is not waited for.
+        let mut job = if self.visit.whole() { job } else { Ok(job?) }?;
+        job.parcel.body = self.body(body).await?;
+        let id = self.open.open(&job.parcel.request_id);
+        // Sent on, an instance could not tell the two apart.
+        let _id = id.ok_or((StatusCode::CONFLICT, "request-id: open already".to_owned()))?;
+        self.visit.prove();
         Ok(match self.entrance.submit(job).await {
             Answer::Served(result) => reply(StatusCode::OK, result),
             Answer::Refused { retry_after } => {
@@ -128,6 +143,21 @@
         })
     }
 
+    async fn body(&self, body: Incoming) -> Result<Bytes, Nack> {
+        let too_large = (StatusCode::PAYLOAD_TOO_LARGE, "body over 64 KiB".to_owned());
+        // Announced as too large, it is not waited for: the client may well wait for the answer.
+        if body.size_hint().lower() > LARGEST_BODY {
+            return Err(too_large);
+        }
+        let whole = Limited::new(body, LARGEST_BODY as usize).collect();
+        match timeout_at(self.visit.whole_by().into(), whole).await {
+            Ok(Ok(body)) => Ok(body.to_bytes()),
+            Ok(Err(e)) if e.is::<LengthLimitError>() => Err(too_large),
+            Ok(Err(e)) => Err((StatusCode::BAD_REQUEST, format!("body: {e}"))),
+            Err(_) => Err((StatusCode::REQUEST_TIMEOUT, "body not whole in time".to_owned())),
+        }
+    }
+
     /// Takes out of the head what the decisions need; the rest goes on as it came.
     fn read(&self, parts: Parts, came: Instant) -> Result<Job<Parcel>, String> {
         let headers = &parts.headers;
@@ -215,71 +245,3 @@
     *reply.status_mut() = status;
     reply
 }
-
-/// Accepts client connections until the shutdown has closed the door; returns when all have ended.
-pub async fn serve(listener: TcpListener, front: Front, most: usize) {
-    let places = Arc::new(Semaphore::new(most));
-    let retire = Arc::new(Notify::new());
-    loop {
-        // Biased: what has come before the door closes is still taken from the queue of the listener, for
-        // closing that would reset it.
-        let stream = tokio::select! {
-            biased;
-            accepted = listener.accept() => accepted,
-            () = front.shutdown.closing() => break,
-        };
-        match stream {
-            Ok((stream, _)) => {
-                if places.available_permits() <= most / 8 {
-                    retire.notify_one();
-                }
-                let Ok(place) = places.clone().acquire_owned().await else { return };
-                front.counters.accepted.add();
-                let _ = stream.set_nodelay(true);
-                let front = Front { under_way: Arc::default(), ..front.clone() };
-                tokio::spawn(connection(stream, front, place, retire.clone()));
-            }
-            Err(e) => {
-                // Out of descriptors, or a client that left while it waited: neither may end the program,
-                // and without a pause the first would spin it.
-                front.counters.accept_errors.add();
-                warn!(error = %e, "accept failed");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
-    drop(listener);
-    let _ = places.acquire_many(most as u32).await;
-}
-
-/// One client connection. Where places run short the ones longest here are retired, one for each that
-/// comes: an idle one closes at once, which the protocol allows, a busy one after its answer.
-async fn connection(stream: TcpStream, front: Front, place: OwnedSemaphorePermit, retire: Arc<Notify>) {
-    let (shutdown, under_way) = (front.shutdown.clone(), front.under_way.clone());
-    let connection = hyper::server::conn::http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(HEAD)
-        .max_buf_size(LARGEST_HEAD)
-        .serve_connection(TokioIo::new(stream), TowerToHyperService::new(front));
-    let mut connection = std::pin::pin!(connection);
-    let mut ended = tokio::select! {
-        ended = connection.as_mut() => Some(ended),
-        () = retire.notified() => None,
-        () = shutdown.closing() => None,
-    };
-    if ended.is_none() {
-        connection.as_mut().graceful_shutdown();
-    }
-    while ended.is_none() {
-        ended = match timeout(LAST_HEAD, connection.as_mut()).await {
-            Ok(ended) => Some(ended),
-            // One with half a head is not idle to hyper, which would wait for the rest. Held are two: by this function and by the service. A call under way holds one more.
-            Err(_) if Arc::strong_count(&under_way) <= 2 => break,
-            Err(_) => None,
-        };
-    }
-    if let Some(Err(e)) = ended {
-        debug!(error = %e, "client connection ended");
-    }
-    drop(place);
-}
