Take a try with hardly any time left for a first one, not for a late repeat

At fault: rules.rs (`request`), which takes all that is missing from the class's deadline for time that earlier tries have used, so that the patience of such a request was over before it came. A real repeat comes after a retry-after of up to 2 s, and has 2.3 s and more left. Below a quarter of the deadline a try now counts as a first one.

What is left there is jobs whose time is shorter than their run. The new scenario fails without this.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -49,6 +49,9 @@
 const CAPACITY_OF_SLOT: f64 = 0.6;
 /// Part of a worker's slots left free for work within its tenant's share.
 const RESERVE: f64 = 0.5;
+/// A first try may be given this part (1/n) of its class's deadline, or less: a repeat has more left, for it
+/// comes a retry-after or two later and not much more.
+const HURRIED: Nanos = 4;
 /// Memory (s) of the arrival rates, and burst (s of quota) that counts as within a share.
 const RATE_MEMORY: f64 = 12.0;
 const SHARE_BURST: f64 = 3.0;
@@ -337,8 +340,10 @@
         request.class = request.class.min(self.classes.len() as u32 - 1);
         let class = &self.settings.classes[request.class as usize];
         let view = &self.classes[request.class as usize];
-        // A repeat has less time left than a first try: its aim began with that one.
-        let elapsed = view.longest.saturating_sub(request.time_left);
+        // A repeat has less time left than a first try: its aim began with that one. With hardly any left it
+        // is more likely the first try of a client in a hurry, whose aim begins now.
+        let hurried = request.time_left < view.longest / HURRIED;
+        let elapsed = if hurried { 0 } else { view.longest.saturating_sub(request.time_left) };
         let useful = class.aim as f64 + (class.stretch - 1.3).max(0.0) * view.run;
         let patience = (self.now + useful as Nanos).saturating_sub(elapsed);
         let deadline = self.now + request.time_left.saturating_sub(2 * self.settings.resolution);
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -574,6 +574,21 @@
     assert_eq!(b.probes(0) + b.probes(1), 0, "closed for the fault of a request");
 }
 
+/// Clients in a hurry give a first try little time; taken for repeats that have used theirs up, they were refused at
+/// once though workers stood idle.
+#[test]
+fn a_first_try_of_a_client_in_a_hurry_is_not_taken_for_a_late_repeat() {
+    let mut b = Bench::open(settings(vec![class(Effect::Safe)]), vec![entry(0)], 1.0);
+    b.ask(0);
+    let given = |time_left| Event::Request(Request { id: RequestId(time_left), time_left, ..request(0) });
+    b.event(given(600 * MS));
+    b.event(given(2_500 * MS));
+    assert!(!b.refused(600 * MS), "not held");
+    assert!(b.refused(2_500 * MS), "a repeat that can only be late was held");
+    b.outcome(0, 0, Outcome::Ok);
+    assert_eq!(b.sends(600 * MS), [0]);
+}
+
 #[test]
 fn the_module_stays_within_its_limits() {
     let text = include_str!("../src/rules.rs");
