Serve for 2 s after SIGTERM, and have all answered before SIGKILL may come

In the logs: n0 is told to end at 13.1 s and back at 17.5 s; n1, told at 15.9 s, closed its door at 16.4 s. For a second nobody was there, and clients that n1 had sent away could connect to no one. Ruled out: a lost answer (no rule broken), the new configurations (the watch was up 0.25 s after each).

At fault: shutdown.rs (CROSSING, 0.5 s) closed connections that clients may keep using "for as long as those stay open". Now the door stays open for 2 s. What comes late must not be found open by SIGKILL, 3.7 s after SIGTERM at the earliest: the module is told when all must be answered (3.3 s), a new event, and answers then what is still open; a request's own time left stays what it was, so that it is not taken for a late repeat.

The new scenario fails without the event.

--- a/daemon/src/core.rs
+++ b/daemon/src/core.rs
@@ -88,10 +88,28 @@
 pub enum Input<P> {
     Job(u64, Job<P>, oneshot::Sender<Answer>),
     Gone(u64),
-    Progress { job: u64, attempt: u32 },
-    Ended { job: u64, attempt: u32, end: End },
-    Probed { instance: u32, outcome: Outcome, report: Option<Report> },
-    Listed { kind: ListKind, entries: Vec<Entry> },
+    Progress {
+        job: u64,
+        attempt: u32,
+    },
+    Ended {
+        job: u64,
+        attempt: u32,
+        end: End,
+    },
+    Probed {
+        instance: u32,
+        outcome: Outcome,
+        report: Option<Report>,
+    },
+    Listed {
+        kind: ListKind,
+        entries: Vec<Entry>,
+    },
+    /// The program ends: by then all must be answered.
+    Ending {
+        by: Instant,
+    },
 }
 
 /// How an execution ended.
@@ -265,6 +283,10 @@
                 }
                 self.handle(Event::Probed { worker: WorkerId(instance), outcome, report });
             }
+            Input::Ending { by } => {
+                let by = self.clock.at(by);
+                self.handle(Event::Ending { by });
+            }
             Input::Listed { kind, entries } => {
                 self.counters.lists.add();
                 let entries = entries.into_iter().map(|entry| self.entry(entry)).collect();
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -22,7 +22,7 @@
 use tracing::info;
 
 use crate::config::Config;
-use crate::core::{Clock, Core, Entrance, Order};
+use crate::core::{Clock, Core, Entrance, Input, Order};
 use crate::counters::Shared;
 use crate::execution::Instances;
 use crate::inlet::Visit;
@@ -65,6 +65,11 @@
     };
     let table = NameTable { discovery, words: config.words, queue: queue.clone(), asked };
     tokio::spawn(table.run(config.known));
+    let ending = (shutdown.clone(), queue.clone());
+    tokio::spawn(async move {
+        let by = ending.0.answer_by().await;
+        let _ = ending.1.send(Input::Ending { by });
+    });
     let core = Core::new(dispatcher, Clock::start(), counters.clone(), carry_out);
     let core = tokio::spawn(core.run(inputs));
     let address = listener.local_addr().map_err(|e| format!("listen: {e}"))?;
--- a/daemon/src/shutdown.rs
+++ b/daemon/src/shutdown.rs
@@ -2,7 +2,7 @@
 //! are still served as ever, then the door is closed and what has been taken is answered. SIGHUP: the
 //! configuration is read again. SIGUSR1: the counters are printed.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::watch;
@@ -10,13 +10,17 @@
 
 use crate::counters::Shared;
 
-/// For 0.2 to 0.4 s after the signal new connections keep arriving.
-const CROSSING: Duration = Duration::from_millis(500);
+/// For 0.2 to 0.4 s after the signal new connections keep arriving; clients go on using those that they have.
+/// The door stays open for longer than that: in a rolling restart the others may not be back yet, and whoever
+/// is sent away then finds nobody.
+const CROSSING: Duration = Duration::from_millis(2000);
+/// SIGKILL may come 3.7 s after the signal: what is still open this long after it is answered then.
+const ANSWERED: Duration = Duration::from_millis(3300);
 
 #[derive(Clone, Copy, PartialEq, PartialOrd)]
 enum Stage {
     Serving,
-    Begun,
+    Begun { answer_by: Instant },
     Closing,
 }
 
@@ -35,7 +39,7 @@
 impl Trigger {
     /// Runs through the stages; what follows waits for what was taken by itself.
     pub async fn pull(&self) {
-        self.0.send_replace(Stage::Begun);
+        self.0.send_replace(Stage::Begun { answer_by: Instant::now() + ANSWERED });
         tokio::time::sleep(CROSSING).await;
         self.0.send_replace(Stage::Closing);
     }
@@ -43,7 +47,17 @@
 
 impl Shutdown {
     pub fn begun(&self) -> bool {
-        *self.0.borrow() >= Stage::Begun
+        *self.0.borrow() != Stage::Serving
+    }
+
+    /// Returns at the begin of the end, with the time by which all must be answered.
+    pub async fn answer_by(&self) -> Instant {
+        let mut stage = self.0.clone();
+        let begun = stage.wait_for(|stage| matches!(stage, Stage::Begun { .. })).await.map(|stage| *stage);
+        match begun {
+            Ok(Stage::Begun { answer_by }) => answer_by,
+            _ => std::future::pending().await,
+        }
     }
 
     /// Returns once no new work is taken any more.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -215,6 +215,10 @@
     ClientGone {
         request: RequestId,
     },
+    /// The dispatcher is to end: all that is open by then is answered at this time, and what still comes too.
+    Ending {
+        by: Nanos,
+    },
     /// A moment asked for with `Wake` has come.
     Wake,
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -158,6 +158,8 @@
     /// Requests a second that came in here since the first; infinite until there are some.
     demand: f64,
     first: Option<Nanos>,
+    /// When all must be answered, for this dispatcher ends.
+    ending: Nanos,
 }
 
 impl Dispatcher {
@@ -203,6 +205,7 @@
             list_failures: 0,
             demand: f64::INFINITY,
             first: None,
+            ending: Nanos::MAX,
         })
     }
 
@@ -224,6 +227,12 @@
             }
             Event::Probed { worker, outcome, report } => self.probed(worker, outcome, report, actions),
             Event::ClientGone { request } => self.end(request),
+            Event::Ending { by } => {
+                self.ending = by.min(self.ending);
+                for id in self.jobs.keys() {
+                    self.agenda.push(Reverse((self.ending, Due::Deadline(*id))));
+                }
+            }
             // A wake may come a little early, where the caller's clock is coarser: ask again for the next.
             Event::Wake if self.armed <= self.now + self.settings.resolution => self.armed = Nanos::MAX,
             Event::Wake => {}
@@ -347,6 +356,7 @@
         let useful = class.aim as f64 + (class.stretch - 1.3).max(0.0) * view.run;
         let patience = (self.now + useful as Nanos).saturating_sub(elapsed);
         let deadline = self.now + request.time_left.saturating_sub(2 * self.settings.resolution);
+        let deadline = deadline.min(self.ending);
         let patience = patience.min(deadline);
         let over_share = self.over_share(request.tenant);
         let homes = request.key.map_or_else(Vec::new, |key| self.homes(key));
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -589,6 +589,25 @@
     assert_eq!(b.sends(600 * MS), [0]);
 }
 
+#[test]
+fn a_dispatcher_that_ends_answers_all_by_then_and_treats_what_comes_as_ever() {
+    let mut b = Bench::open(settings(vec![class(Effect::Unsafe)]), vec![entry(0)], 1.0);
+    b.ask(0);
+    let by = b.now + 800 * MS;
+    b.event(Event::Ending { by });
+    // Its own time left counts, and not the dispatcher's: it is no late repeat.
+    b.ask(1);
+    assert!(!b.refused(1) && !b.failed(1));
+    b.outcome(0, 0, Outcome::Ok);
+    assert_eq!(b.sends(1), [0]);
+    b.ask(2);
+    b.pass(800 * MS);
+    assert!(b.failed(1), "it may have run");
+    assert!(b.refused(2), "it has not run");
+    b.ask(3);
+    assert!(b.refused(3) && b.sends(3).is_empty());
+}
+
 #[test]
 fn the_module_stays_within_its_limits() {
     let text = include_str!("../src/rules.rs");
