Count attempts that fail together as one failure, and call back those of gone clients

Now only the first shuts the worker, and after that its failed probes count, as the design has it: a failure closes until the next probe. Also seen: ClientGone ended the request and left its attempts running, though nobody waits for them.

Both new scenarios fail without this.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -226,7 +226,10 @@
                 self.outcome(request, attempt, (outcome, finished, report), actions);
             }
             Event::Probed { worker, outcome, report } => self.probed(worker, outcome, report, actions),
-            Event::ClientGone { request } => self.end(request),
+            Event::ClientGone { request } => {
+                self.call_back(request, actions);
+                self.end(request);
+            }
             Event::Ending { by } => {
                 self.ending = by.min(self.ending);
                 for id in self.jobs.keys() {
@@ -484,20 +487,23 @@
     }
 
     fn finish(&mut self, id: RequestId, harmless: bool, actions: &mut Vec<Action>) {
-        let Some(job) = self.jobs.get(&id) else { return };
         if harmless {
             let retry_after = self.settings.max_retry_after;
             actions.push(Action::Refuse { request: id, retry_after });
         } else {
             actions.push(Action::Fail { request: id });
         }
-        if self.settings.can_cancel {
-            let out = job.attempts.iter().enumerate().filter(|(_, a)| a.out);
-            actions.extend(out.map(|(n, _)| Action::Cancel { request: id, attempt: n as u32 }));
-        }
+        self.call_back(id, actions);
         self.end(id);
     }
 
+    /// Nobody waits for the attempts that are still out: run on, they would take slots for nothing.
+    fn call_back(&self, id: RequestId, actions: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get(&id).filter(|_| self.settings.can_cancel) else { return };
+        let out = job.attempts.iter().enumerate().filter(|(_, a)| a.out);
+        actions.extend(out.map(|(n, _)| Action::Cancel { request: id, attempt: n as u32 }));
+    }
+
     /// The request is over; what is still out is waited for only to give its slots back.
     fn end(&mut self, id: RequestId) {
         self.unhold(id);
@@ -784,8 +790,8 @@
         let Some(worker) = self.workers[index].as_mut().filter(|w| w.timer == timer) else { return };
         if worker.probing {
             // No answer came, not even a failed one.
-            worker.probing = false;
             worker.failed(1.0);
+            worker.probing = false;
             self.settle(index);
         } else if std::mem::take(&mut worker.waiting) {
             worker.probing = true;
@@ -798,13 +804,13 @@
         let index = id.0 as usize;
         let (part, luck) = (self.part(), self.rng.f64());
         let Some(worker) = self.workers.get_mut(index).and_then(Option::as_mut) else { return };
-        worker.probing = false;
         if outcome == Outcome::Ok {
             worker.shut = false;
             worker.report(self.now, &report.unwrap_or_default(), part, luck);
         } else {
             worker.failed(1.0);
         }
+        worker.probing = false;
         self.settle(index);
         self.serve(index, actions);
     }
@@ -902,9 +908,12 @@
         self.unheard = (self.unheard_out > 0).then_some(now);
     }
 
+    /// Attempts that fail together fail for one cause: while it is shut only failed probes count further.
     fn failed(&mut self, weight: f64) {
+        if !self.shut || self.probing {
+            self.failures = (self.failures + weight).min(MAX_DOUBLINGS + 1.0);
+        }
         self.shut = true;
-        self.failures = (self.failures + weight).min(MAX_DOUBLINGS + 1.0);
     }
 
     fn report(&mut self, now: Nanos, report: &Report, part: f64, luck: f64) {
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -608,6 +608,28 @@
     assert!(b.refused(3) && b.sends(3).is_empty());
 }
 
+/// A worker that breaks off all it has breaks off one thing: counted one by one, four attempts kept it out for seconds.
+#[test]
+fn attempts_that_fail_together_count_as_one_failure() {
+    let mut b = Bench::open(settings(vec![class(Effect::Unsafe)]), vec![entry(0)], 4.0);
+    (0..4).for_each(|id| b.ask(id));
+    (0..4).for_each(|id| b.outcome(id, 0, Outcome::Reset));
+    b.take();
+    b.pass(700 * MS);
+    assert_eq!(b.probes(0), 1);
+}
+
+#[test]
+fn what_is_out_for_a_client_that_has_left_is_called_back() {
+    let mut b = Bench::open(settings(vec![class(Effect::Unsafe)]), vec![entry(0)], 1.0);
+    b.ask(0);
+    b.event(Event::ClientGone { request: RequestId(0) });
+    assert!(b.actions.contains(&Action::Cancel { request: RequestId(0), attempt: 0 }));
+    b.outcome(0, 0, Outcome::Cancelled);
+    b.ask(1);
+    assert_eq!(b.sends(1), [0], "its slot did not come back");
+}
+
 #[test]
 fn the_module_stays_within_its_limits() {
     let text = include_str!("../src/rules.rs");
