Count free memory on like free slots, and probe a worker that is short of it

What their last reports have in common is free slots above the job's, and free memory of 0.2 to 0.6 against jobs of 0.4 on average and more.

At fault: rules.rs. `open` asks for memory, `settle` did not: such a worker counted as open by its slots, so that it was not probed, took nothing, ended nothing, and its memory stayed what one old report had said. Nor were own sends and ends counted on the memory. Now they are, as with slots, and a worker whose free memory is below that of the hungriest held job, or a usual one, is closed until its next probe.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -68,14 +68,16 @@
     free: Option<f64>,
     /// Reported free slots that were left to the other dispatchers.
     others: f64,
+    /// Last reported free memory, counted on like the slots, and the most that it was ever seen with.
     memory: Option<f64>,
+    room: f64,
     /// Most free slots it was ever seen with: its size, as far as known.
     size: f64,
     /// Closed by a failure until its next probe.
     shut: bool,
     failures: f64,
-    /// Own sends (-) and ends (+) of the last REPORT_AGE, in slots.
-    recent: VecDeque<(Nanos, f64)>,
+    /// Own sends (-) and ends (+) of the last REPORT_AGE, in slots and memory.
+    recent: VecDeque<(Nanos, f64, f64)>,
     out: u32,
     /// When it last gave a sign of life, or was first sent what it has given none of, and how many those are.
     unheard: Option<Nanos>,
@@ -147,8 +149,11 @@
     jobs: BTreeMap<RequestId, Job>,
     held: BTreeMap<(u8, u64), RequestId>,
     arrivals: u64,
-    /// Slots that a worker must cover to count as open: those of the widest held job.
+    /// Slots that a worker must cover to count as open: those of the widest held job. And the memory: what
+    /// the hungriest held job takes, or a usual one.
     need: f64,
+    need_memory: f64,
+    usual_memory: f64,
     classes: Vec<ClassView>,
     tenants: Vec<TenantView>,
     agenda: BinaryHeap<Reverse<(Nanos, Due)>>,
@@ -197,6 +202,8 @@
             held: BTreeMap::new(),
             arrivals: 0,
             need: 1.0,
+            need_memory: 0.0,
+            usual_memory: 0.0,
             classes,
             tenants,
             agenda: BinaryHeap::new(),
@@ -349,6 +356,7 @@
         // Impossible figures count as the least ones.
         let sound = |x: f64, least: f64| if x.is_finite() && x >= 0.0 { x.max(least) } else { least };
         (request.slots, request.memory) = (sound(request.slots, 0.01), sound(request.memory, 0.0));
+        self.usual_memory += 0.05 * (request.memory - self.usual_memory);
         request.class = request.class.min(self.classes.len() as u32 - 1);
         let class = &self.settings.classes[request.class as usize];
         let view = &self.classes[request.class as usize];
@@ -443,14 +451,14 @@
         }
         let place = (rank, job.arrived);
         job.place = Some(place);
-        let (patience, slots) = (job.patience, job.request.slots);
+        let (patience, slots, memory) = (job.patience, job.request.slots, job.request.memory);
         self.held.insert(place, id);
         if rank != 1 {
             self.at(patience, Due::Patience(id));
         }
-        if slots > self.need {
+        if slots > self.need || memory > self.need_memory {
             // A wide job is waiting: workers that cover only narrow ones are closed to it, and probed.
-            self.need = slots;
+            (self.need, self.need_memory) = (slots.max(self.need), memory.max(self.need_memory));
             for worker in 0..self.workers.len() {
                 self.settle(worker);
             }
@@ -461,7 +469,7 @@
         if let Some(place) = self.jobs.get_mut(&id).and_then(|job| job.place.take()) {
             self.held.remove(&place);
             if self.held.is_empty() {
-                self.need = 1.0;
+                (self.need, self.need_memory) = (1.0, 0.0);
             }
         }
     }
@@ -620,12 +628,14 @@
             maybe_ran: true,
             heard: false,
         });
-        let (slots, patience) = (
+        let (slots, memory, patience) = (
             job.request.slots,
+            job.request.memory,
             job.patience.max(self.now + self.settings.classes[job.request.class as usize].aim),
         );
         worker.free = worker.free.map(|free| free - slots);
-        worker.moved(self.now, -slots);
+        worker.memory = worker.memory.map(|free| free - memory);
+        worker.moved(self.now, -slots, -memory);
         worker.out += 1;
         worker.unheard.get_or_insert(self.now);
         worker.unheard_out += 1;
@@ -689,7 +699,7 @@
         attempt.out = false;
         attempt.maybe_ran = !outcome.never_ran();
         let (index, sent, first) = (attempt.worker, attempt.sent, !attempt.heard);
-        let slots = job.request.slots;
+        let (slots, memory) = (job.request.slots, job.request.memory);
         if outcome == Outcome::Ok {
             let run = &mut self.classes[job.request.class as usize].run;
             *run += 0.05 * ((self.now - sent) as f64 - *run);
@@ -697,7 +707,8 @@
         if let Some(worker) = self.workers[index].as_mut().filter(|w| sent >= w.since) {
             worker.out = worker.out.saturating_sub(1);
             worker.free = worker.free.map(|free| (free + slots).min(worker.size.max(free)));
-            worker.moved(self.now, slots);
+            worker.memory = worker.memory.map(|free| (free + memory).min(worker.room.max(free)));
+            worker.moved(self.now, slots, memory);
             let quiet = worker.unheard.is_some_and(|since| self.now > since + silence);
             match outcome {
                 Outcome::Ok => {
@@ -747,11 +758,14 @@
 
     /// Starts or gives up the timer that leads to a worker's next probe, by whether it is closed.
     fn settle(&mut self, index: usize) {
-        let need = self.need;
+        let (need, need_memory) = (self.need, self.need_memory.max(self.usual_memory));
         let can_probe = self.settings.can_probe;
         let shared = self.workers[index].as_ref().is_some_and(|w| w.failures > 1.0) && self.many_failing();
         let Some(worker) = &mut self.workers[index] else { return };
-        let closed = worker.shut || worker.free.is_none_or(|free| free + K < need.min(worker.size.max(1.0)));
+        // One without memory takes next to nothing: left open for its slots, it would never be probed again.
+        let full = worker.memory.is_some_and(|free| free < need_memory.min(worker.room));
+        let closed =
+            worker.shut || full || worker.free.is_none_or(|free| free + K < need.min(worker.size.max(1.0)));
         if !closed || !worker.ready {
             if std::mem::take(&mut worker.waiting) {
                 worker.timer = worker.timer.wrapping_add(1);
@@ -882,6 +896,7 @@
             size: 1.0,
             shut: false,
             failures: 0.0,
+            room: 0.0,
             recent: VecDeque::new(),
             out: 0,
             unheard: None,
@@ -894,12 +909,12 @@
         }
     }
 
-    /// Takes note of own slots sent (-) or ended (+).
-    fn moved(&mut self, now: Nanos, slots: f64) {
-        while self.recent.front().is_some_and(|(at, _)| at + REPORT_AGE < now) {
+    /// Takes note of own slots and memory sent (-) or ended (+).
+    fn moved(&mut self, now: Nanos, slots: f64, memory: f64) {
+        while self.recent.front().is_some_and(|(at, ..)| at + REPORT_AGE < now) {
             self.recent.pop_front();
         }
-        self.recent.push_back((now, slots));
+        self.recent.push_back((now, slots, memory));
     }
 
     /// A sign of life; `first` if it is the first of its attempt.
@@ -917,8 +932,9 @@
     }
 
     fn report(&mut self, now: Nanos, report: &Report, part: f64, luck: f64) {
-        self.moved(now, 0.0);
-        let unseen: f64 = self.recent.iter().map(|(_, slots)| slots).sum();
+        self.moved(now, 0.0, 0.0);
+        let unseen: f64 = self.recent.iter().map(|(_, slots, _)| slots).sum();
+        let unseen_memory: f64 = self.recent.iter().map(|(.., memory)| memory).sum();
         if let Some(free) = report.free_slots.filter(|f| f.is_finite() && *f >= 0.0) {
             self.size = self.size.max(free);
             // What waits in its queue will take the slots that come free first.
@@ -930,6 +946,8 @@
             self.free = Some(self.size);
         }
         self.memory = report.free_memory.filter(|m| m.is_finite());
+        self.room = self.memory.map_or(0.0, |free| self.room.max(free));
+        self.memory = self.memory.map(|free| free + unseen_memory);
         let rate = |r: Option<f64>| r.filter(|r| r.is_finite()).unwrap_or(0.0);
         if rate(report.errors_per_s) > 0.2 * rate(report.served_per_s) + 0.5 {
             // It fails what it takes, fast, and has free slots because of that.
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -630,6 +630,33 @@
     assert_eq!(b.sends(1), [0], "its slot did not come back");
 }
 
+/// With slots free and no memory a worker takes nothing, and so nothing of its own ends; left open, it was not probed
+/// again, and stayed out for good.
+#[test]
+fn a_worker_short_of_memory_is_probed_and_own_ends_give_memory_back() {
+    let report = |memory| Some(Report { free_memory: Some(memory), ..free(4.0) });
+    let mut b = Bench::new(settings(vec![Class { aim: 3 * S, ..class(Effect::Safe) }]));
+    b.report = report(1.0);
+    b.workers(ListKind::Full, vec![entry(0)]);
+    b.pass(100 * MS);
+    b.report = None;
+    let hungry = |id| Event::Request(Request { memory: 0.8, ..request(id) });
+    b.event(hungry(0));
+    b.event(hungry(1));
+    assert_eq!(b.sends(0), [0]);
+    assert!(b.sends(1).is_empty(), "sent what its memory does not hold");
+    b.outcome(0, 0, Outcome::Ok);
+    assert_eq!(b.sends(1), [0], "the memory did not come back");
+    b.event(Event::Progress { request: RequestId(1), attempt: 0 });
+    b.report = report(0.1);
+    b.event(hungry(2));
+    b.pass(500 * MS);
+    assert!(b.probes(0) > 0 && b.sends(2).is_empty());
+    b.report = report(2.0);
+    b.pass(500 * MS);
+    assert_eq!(b.sends(2), [0]);
+}
+
 #[test]
 fn the_module_stays_within_its_limits() {
     let text = include_str!("../src/rules.rs");
