Close a worker for a broken connection only until its next probe

It now weighs as little as a full queue: it closes the worker until its next probe, and that tells whether all has gone. A probe that found no descriptor blames no worker any more.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -715,10 +715,9 @@
                     worker.failures *= 1.0 - FORGIVE;
                     worker.heard(self.now, first);
                 }
-                Outcome::Error | Outcome::Timeout | Outcome::ConnectFailed | Outcome::Reset => {
-                    worker.failed(1.0)
-                }
-                Outcome::Full => worker.failed(FORGIVE),
+                Outcome::Error | Outcome::Timeout | Outcome::ConnectFailed => worker.failed(1.0),
+                // Connections break, and jobs are killed, one by one; whether all has gone its probe tells.
+                Outcome::Full | Outcome::Reset => worker.failed(FORGIVE),
                 // Cancelled for its silence: the worker may hang, and must not look idle for it.
                 Outcome::Cancelled if first && quiet => worker.failed(1.0),
                 Outcome::Unusable | Outcome::Cancelled | Outcome::NotSent => {}
@@ -821,7 +820,7 @@
         if outcome == Outcome::Ok {
             worker.shut = false;
             worker.report(self.now, &report.unwrap_or_default(), part, luck);
-        } else {
+        } else if outcome != Outcome::NotSent {
             worker.failed(1.0);
         }
         worker.probing = false;
