Trust no kept connection for 10 s after one broke, none to an instance that misses a probe

An exchange shows a second case: kept connections outlive a probe that goes unanswered, and an instance that comes back resets them under the next job. execution.rs kept using both.

Now the first kept connection that breaks under a request empties the pool, and for 10 s none is kept: a new one costs milliseconds. A probe that times out or cannot connect drops what is kept for its address. Waiting in vain for a descriptor is "never sent" and no longer blamed on the instance.

--- a/daemon/src/execution.rs
+++ b/daemon/src/execution.rs
@@ -49,8 +49,13 @@
     permit: OwnedSemaphorePermit,
 }
 
+/// For how long no kept connection is used again after one was reset under its next request.
+const DISTRUST: Duration = Duration::from_secs(10);
+
 /// The instances' side of the scheduler: its connections to all of them.
 pub struct Instances {
+    /// Until when kept connections are not trusted.
+    distrust: Mutex<Option<Instant>>,
     pool: Mutex<HashMap<SocketAddr, Vec<Pooled>>>,
     permits: Arc<Semaphore>,
     links: Links,
@@ -74,7 +79,14 @@
         queue: mpsc::UnboundedSender<Input<Parcel>>,
     ) -> Arc<Self> {
         let permits = Arc::new(Semaphore::new(most));
-        Arc::new(Instances { pool: Mutex::default(), permits, links, counters, queue })
+        Arc::new(Instances {
+            distrust: Mutex::default(),
+            pool: Mutex::default(),
+            permits,
+            links,
+            counters,
+            queue,
+        })
     }
 
     /// Makes one attempt and reports its one end, whichever comes first of its own outcome, the module's
@@ -111,10 +123,7 @@
         let (mut lease, answer) = loop {
             let mut lease = match self.lease(address, fresh).await {
                 Ok(lease) => lease,
-                Err(why) => {
-                    debug!(%address, why, "could not connect");
-                    return (Outcome::ConnectFailed.into(), None);
-                }
+                Err(outcome) => return (outcome.into(), None),
             };
             match lease.connection.send(parcel.request(address, until)).await {
                 Ok(answer) => break (lease, answer),
@@ -123,6 +132,9 @@
                 Err(broken) => {
                     debug!(%address, why = %broken.why, written = ?broken.written, "connection broke");
                     let whole = broken.written == Written::Whole;
+                    if lease.reused && whole {
+                        self.distrust();
+                    }
                     let outcome = if whole { Outcome::Reset } else { Outcome::ConnectFailed };
                     return (outcome.into(), None);
                 }
@@ -179,6 +191,11 @@
     pub async fn probe(self: Arc<Self>, instance: u32, address: SocketAddr) {
         let (outcome, report) =
             timeout(PROBE, self.ask_load(address)).await.unwrap_or((Outcome::Timeout, None));
+        if matches!(outcome, Outcome::Timeout | Outcome::ConnectFailed) {
+            // It is stuck or has vanished. Back again, it resets what it had before: a job sent on one of
+            // those would end as if it might have run.
+            self.pool().remove(&address);
+        }
         debug!(instance, ?outcome, ?report, "probed");
         let _ = self.queue.send(Input::Probed { instance, outcome, report });
     }
@@ -186,8 +203,9 @@
     async fn ask_load(&self, address: SocketAddr) -> (Outcome, Option<Report>) {
         let mut fresh = false;
         let (lease, answer) = loop {
-            let Ok(mut lease) = self.lease(address, fresh).await else {
-                return (Outcome::ConnectFailed, None);
+            let mut lease = match self.lease(address, fresh).await {
+                Ok(lease) => lease,
+                Err(outcome) => return (outcome, None),
             };
             let mut request = Request::new(Full::default());
             *request.uri_mut() = Uri::from_static("/load");
@@ -210,7 +228,8 @@
         (if status == StatusCode::OK { Outcome::Ok } else { Outcome::Error }, report)
     }
 
-    async fn lease(&self, address: SocketAddr, fresh: bool) -> Result<Lease, String> {
+    /// A connection to an instance, or what has become of the attempt without one.
+    async fn lease(&self, address: SocketAddr, fresh: bool) -> Result<Lease, Outcome> {
         while let Some(pooled) = if fresh { None } else { self.take(address) } {
             if pooled.connection.usable() {
                 self.counters.reuses.add();
@@ -224,14 +243,32 @@
                 // All descriptors are in use: an idle connection to some other instance gives way.
                 self.drop_oldest();
                 let permit = timeout(self.links.connect, self.permits.clone().acquire_owned()).await;
-                permit.map_err(|_| "no descriptor free")?.map_err(|e| e.to_string())?
+                // The instance has no part in that.
+                permit.ok().and_then(Result::ok).ok_or(Outcome::NotSent)?
             }
         };
         self.counters.connects.add();
-        let connection = Connection::open(address, self.links.connect).await?;
+        let connection = Connection::open(address, self.links.connect).await.map_err(|why| {
+            debug!(%address, why, "could not connect");
+            Outcome::ConnectFailed
+        })?;
         Ok(Lease { connection, permit, address, reused: false })
     }
 
+    /// Instances that reset kept connections under the next request do so again, and nothing shows it before:
+    /// each time a job may have run. A new connection costs a few milliseconds instead.
+    fn distrust(&self) {
+        self.counters.distrusts.add();
+        let mut distrust = self.distrust.lock().unwrap_or_else(PoisonError::into_inner);
+        *distrust = Some(Instant::now() + DISTRUST);
+        self.pool().clear();
+    }
+
+    fn trusting(&self) -> bool {
+        let distrust = self.distrust.lock().unwrap_or_else(PoisonError::into_inner);
+        distrust.is_none_or(|until| until < Instant::now())
+    }
+
     fn pool(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, Vec<Pooled>>> {
         self.pool.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -246,6 +283,9 @@
     fn give_back(&self, lease: Lease) {
         let Lease { connection, permit, address, .. } = lease;
         let pooled = Pooled { connection, since: Instant::now(), permit };
+        if !self.trusting() {
+            return;
+        }
         self.pool().entry(address).or_default().push(pooled);
     }
 
