Let few client connections stay idle, and shed newcomers last

The counters show that the schedulers refused none, turned no connection away and rejected nothing; they took a third fewer requests than were asked. A probe that logged how each connection ended, and who held the places when one was shed: of 202 places 110 idle after one job, 17 busy, 70 that had asked for /healthz and stayed. 110 and 17 is the third of 384 descriptors that clients may hold: they open one connection for each request, let it stay, and could open no more.

Also seen there: /healthz counted as a usable request, so that those 70 were kept for good, and newcomers, then the only ones without, were shed at a median age of 46 ms, some before their request could be read.

Now more than a quarter of the places does not stay idle: a newcomer sheds who has been idle longest.

--- a/daemon/src/counters.rs
+++ b/daemon/src/counters.rs
@@ -26,7 +26,7 @@
 counters! {
     taken, served, refused, failed, client_gone, rejected,
     sent, sent_ok, sent_error, sent_full, sent_unusable, sent_timeout, sent_connect_failed, sent_reset, sent_cancelled,
-    sent_not_sent, cancels, probes, probes_ok, watches, lists, connects, reuses, distrusts, accepted, turned_away, accept_errors,
+    sent_not_sent, cancels, probes, probes_ok, watches, lists, connects, reuses, distrusts, accepted, shed, turned_away, accept_errors,
 }
 
 pub type Shared = Arc<Counters>;
--- a/daemon/src/inlet.rs
+++ b/daemon/src/inlet.rs
@@ -26,6 +26,10 @@
 pub const WHOLE: Duration = Duration::from_millis(2500);
 /// For how long a client may stay between requests.
 const IDLE: Duration = Duration::from_secs(75);
+/// A newcomer gets this long to bring its first request before it counts as one that says nothing.
+const NEW: Duration = Duration::from_millis(100);
+/// The rank of those that have brought a job and are between two.
+pub const IDLE_RANK: u8 = 1;
 /// For how long hyper may take to be done after the last answer.
 const CLOSING: Duration = Duration::from_millis(200);
 
@@ -45,7 +49,8 @@
     /// Whether a call is under way.
     busy: bool,
     idle_since: Instant,
-    /// Whether it has ever brought a request that could be used.
+    /// Whether it has ever brought a request, and one that was a job.
+    asked: bool,
     proven: bool,
     shedding: bool,
     /// Nothing behind the present request is read.
@@ -71,6 +76,7 @@
             begun: false,
             busy: false,
             idle_since: began,
+            asked: false,
             proven: false,
             shedding: false,
             last: false,
@@ -85,11 +91,13 @@
 
     /// A call on it is under way until what this gives is dropped.
     pub fn call(self: &Arc<Self>) -> Call {
-        self.state().busy = true;
+        let mut state = self.state();
+        (state.busy, state.asked) = (true, true);
+        drop(state);
         Call(self.clone())
     }
 
-    /// It has brought a request that can be used.
+    /// It has brought a job.
     pub fn prove(&self) {
         self.state().proven = true;
     }
@@ -133,12 +141,17 @@
         (!state.busy).then(|| state.reading.map_or(from_idle, |since| since + WHOLE))
     }
 
-    /// The least comes first to be shed: whoever never sent a usable request, then who has been idle
-    /// longest. `None` while a call is under way, or it has been told already.
-    pub fn rank(&self) -> Option<(bool, Instant)> {
+    /// The least comes first to be shed: whoever never brought a job, then who has been idle longest, and
+    /// last a newcomer, whose first request may be on its way and would be lost; others repeat one that
+    /// crosses the close. `None` while a call is under way, or it has been told already.
+    pub fn rank(&self) -> Option<(u8, Instant)> {
         let state = self.state();
-        let free = !state.busy && !state.shedding;
-        free.then_some((state.proven, if state.proven { state.idle_since } else { self.began }))
+        let new = !state.asked && self.began.elapsed() < NEW;
+        let rank = match state.proven {
+            true => (IDLE_RANK, state.idle_since),
+            false => (if new { 2 } else { 0 }, self.began),
+        };
+        (!state.busy && !state.shedding).then_some(rank)
     }
 
     pub fn shedding(&self) -> bool {
--- a/daemon/src/places.rs
+++ b/daemon/src/places.rs
@@ -19,13 +19,17 @@
 use tokio::time::{sleep_until, timeout};
 use tracing::{debug, warn};
 
-use crate::inlet::{Inlet, Refusal, Visit, LARGEST_HEAD};
+use crate::counters::Shared;
+use crate::inlet::{Inlet, Refusal, Visit, IDLE_RANK, LARGEST_HEAD};
 use crate::service_client::Front;
 
 /// For how long a connection that is to close may still bring the rest of a head.
 const LAST_HEAD: Duration = Duration::from_millis(200);
 /// Accepting goes on this long after it failed: descriptors come free meanwhile.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Clients may hold only so many connections for their requests, and some open one for each and let it stay:
+/// more than this part (1/n) of the places does not stay idle, or they could open no others.
+const IDLE_PART: usize = 4;
 /// Connections beyond the places, while those that have been shed for them are closing.
 const SPARE: usize = 16;
 /// Closed with input unread, a connection is reset, and the client may lose the answer that it has not read:
@@ -39,6 +43,7 @@
 /// The connections of service clients.
 struct Places {
     most: usize,
+    counters: Shared,
     held: Mutex<Held>,
     freed: Notify,
 }
@@ -70,10 +75,17 @@
     /// A place for a newcomer, for which another may be told to go; `None` if all are in use.
     fn take(self: &Arc<Self>, visit: &Arc<Visit>) -> Option<Place> {
         let mut held = self.held();
+        let idle = held.visits.values().filter_map(|visit| Some((visit.rank()?, visit)));
+        let idle: Vec<_> = idle.filter(|((rank, _), _)| *rank == IDLE_RANK).collect();
+        if idle.len() > self.most / IDLE_PART {
+            idle.iter().min_by_key(|(rank, _)| *rank)?.1.tell_to_end();
+            self.counters.shed.add();
+        }
         let staying = held.visits.values().filter(|visit| !visit.shedding()).count();
         if staying >= self.most {
             let ranked = held.visits.values().filter_map(|visit| Some((visit.rank()?, visit)));
             ranked.min_by_key(|(rank, _)| *rank)?.1.tell_to_end();
+            self.counters.shed.add();
         }
         if held.visits.len() >= self.most + SPARE {
             return None;
@@ -93,7 +105,12 @@
 
 /// Accepts client connections until the shutdown has closed the door; returns when all have ended.
 pub async fn serve(listener: TcpListener, front: Front, most: usize) {
-    let places = Arc::new(Places { most, held: Mutex::default(), freed: Notify::new() });
+    let places = Arc::new(Places {
+        most,
+        counters: front.counters.clone(),
+        held: Mutex::default(),
+        freed: Notify::new(),
+    });
     loop {
         // Biased: what has come before the door closes is still taken from the queue of the listener, for
         // closing that would reset it.
--- a/daemon/src/service_client.rs
+++ b/daemon/src/service_client.rs
@@ -105,7 +105,6 @@
     }
 
     fn health(&self) -> Reply {
-        self.visit.prove();
         if self.entrance.open() && !self.shutdown.begun() {
             reply(StatusCode::OK, "ok\n")
         } else {
