Close a worker for a failed connect, too, only until its next probe

One that has really gone fails its probes, and those count in full as before.

The scenario of the broken connection covers both now, and fails without this.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -715,9 +715,9 @@
                     worker.failures *= 1.0 - FORGIVE;
                     worker.heard(self.now, first);
                 }
-                Outcome::Error | Outcome::Timeout | Outcome::ConnectFailed => worker.failed(1.0),
+                Outcome::Error | Outcome::Timeout => worker.failed(1.0),
                 // Connections break, and jobs are killed, one by one; whether all has gone its probe tells.
-                Outcome::Full | Outcome::Reset => worker.failed(FORGIVE),
+                Outcome::Full | Outcome::Reset | Outcome::ConnectFailed => worker.failed(FORGIVE),
                 // Cancelled for its silence: the worker may hang, and must not look idle for it.
                 Outcome::Cancelled if first && quiet => worker.failed(1.0),
                 Outcome::Unusable | Outcome::Cancelled | Outcome::NotSent => {}
