Keep the door open 2.6 s after SIGTERM, until a restarted peer is admitted again

In its logs n0 is told to end at 16.0 s and closes its door at 18.0 s; n1 listens again at 17.4 s, but the front admits a scheduler only some time after that.

shutdown.rs (CROSSING): 2.0 -> 2.6 s. What comes last has 0.7 s until all is answered, 3.3 s after the signal, which stays 0.4 s before SIGKILL may come.

--- a/daemon/src/shutdown.rs
+++ b/daemon/src/shutdown.rs
@@ -13,7 +13,7 @@
 /// For 0.2 to 0.4 s after the signal new connections keep arriving; clients go on using those that they have.
 /// The door stays open for longer than that: in a rolling restart the others may not be back yet, and whoever
 /// is sent away then finds nobody.
-const CROSSING: Duration = Duration::from_millis(2000);
+const CROSSING: Duration = Duration::from_millis(2600);
 /// SIGKILL may come 3.7 s after the signal: what is still open this long after it is answered then.
 const ANSWERED: Duration = Duration::from_millis(3300);
 
