Host the decisions in an engine of their own, for the daemon and the adapter alike

Need: open jobs, attempts, single answers, wakes and names of instances were kept twice, in the daemon's core and in the adapter, and the laboratory and a client-side plug-in would have been a third and a fourth copy. Change: nickelflow-engine keeps them as a state machine without I/O, clock or tasks, with its promises documented for strangers and a Misuse for inputs that cannot be. The daemon's core is left with channels and parcels, the adapter with the wire's words. A second end of an attempt, which would have underflowed a count, is refused; a cancel goes out once and never to what has ended. FNV-1a by hand is replaced by the fnv crate, with its published vectors as a test. The adapter sends the time left instead of 0 for an attempt's time-out, which is the same on the wire.

--- a/crates/daemon/src/counters.rs
+++ b/crates/daemon/src/counters.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 
-use nickelflow::Outcome;
+use nickelflow_engine::Outcome;
 
 macro_rules! counters {
     ($($name:ident),* $(,)?) => {
--- a/crates/daemon/src/execution.rs
+++ b/crates/daemon/src/execution.rs
@@ -11,7 +11,7 @@
 use hyper::header::{HeaderName, HeaderValue, CONTENT_LENGTH, HOST};
 use hyper::http::uri::PathAndQuery;
 use hyper::{Method, Request, Response, StatusCode, Uri};
-use nickelflow::{Outcome, Report};
+use nickelflow_engine::{Outcome, Report};
 use tinyjson::JsonValue;
 use tokio::sync::{mpsc, OwnedSemaphorePermit, Semaphore};
 use tokio::time::timeout;
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -16,13 +16,12 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use nickelflow::Dispatcher;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::{mpsc, watch};
 use tracing::info;
 
 use crate::config::Config;
-use crate::core::{Clock, Core, Entrance, Input, Order};
+use crate::core::{Core, Entrance, Input, Order};
 use crate::counters::Shared;
 use crate::execution::Instances;
 use crate::inlet::Visit;
@@ -49,7 +48,6 @@
     counters: Shared,
     shutdown: Shutdown,
 ) -> Result<(), String> {
-    let dispatcher = Dispatcher::new(config.settings, config.seed).map_err(|e| format!("settings: {e}"))?;
     let (queue, inputs) = mpsc::unbounded_channel();
     let (ask, asked) = mpsc::unbounded_channel();
     let shared = config.sockets.saturating_sub(RESERVED).max(16);
@@ -70,7 +68,8 @@
         let by = ending.0.answer_by().await;
         let _ = ending.1.send(Input::Ending { by });
     });
-    let core = Core::new(dispatcher, Clock::start(), counters.clone(), carry_out);
+    let core = Core::new(config.settings, config.seed, counters.clone(), carry_out);
+    let core = core.map_err(|e| format!("settings: {e}"))?;
     let core = tokio::spawn(core.run(inputs));
     let address = listener.local_addr().map_err(|e| format!("listen: {e}"))?;
     info!(name = config.name, listen = %address, "serving");
--- a/crates/daemon/src/name_table.rs
+++ b/crates/daemon/src/name_table.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{header, Request, StatusCode};
-use nickelflow::{ListKind, Membership};
+use nickelflow_engine::{ListKind, Membership};
 use tokio::sync::{mpsc, watch};
 use tokio::time::timeout;
 use tracing::{info, warn};
--- a/crates/daemon/src/service_client.rs
+++ b/crates/daemon/src/service_client.rs
@@ -14,12 +14,13 @@
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONNECTION, CONTENT_TYPE, RETRY_AFTER};
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, StatusCode};
+use nickelflow_engine::hash;
 use tokio::time::timeout_at;
 use tower::Service;
 use tracing::debug;
 
 use crate::config::Names;
-use crate::core::{hash, Answer, Entrance, Job};
+use crate::core::{Answer, Entrance, Job};
 use crate::counters::Shared;
 use crate::execution::Parcel;
 use crate::inlet::{Visit, LARGEST_BODY};
@@ -133,7 +134,8 @@
             Answer::Served(result) => reply(StatusCode::OK, result),
             Answer::Refused { retry_after } => {
                 let mut nack = reply(StatusCode::SERVICE_UNAVAILABLE, "refused, try again later\n");
-                if let Ok(seconds) = HeaderValue::try_from(format!("{:.3}", retry_after.as_secs_f64())) {
+                let seconds = Duration::from_nanos(retry_after).as_secs_f64();
+                if let Ok(seconds) = HeaderValue::try_from(format!("{seconds:.3}")) {
                     nack.headers_mut().insert(RETRY_AFTER, seconds);
                 }
                 nack
--- /dev/null
+++ b/crates/engine/src/instances.rs
@@ -0,0 +1,66 @@
+//! Names of instances to the numbers that the module uses, and back.
+
+use std::collections::HashMap;
+
+use nickelflow::{Membership, Nanos, WorkerEntry, WorkerId};
+
+/// One line of a list of instances, as the host has it.
+#[derive(Clone, Debug)]
+pub struct Instance<A> {
+    /// Its lasting name, the same at every scheduler. Instances are ranked for a key by a hash of it, never
+    /// by their address, which may differ from scheduler to scheduler.
+    pub name: String,
+    pub address: A,
+    pub zone: u32,
+    pub kind: u32,
+    /// The group of instances that drop each other's repeats.
+    pub cell: u32,
+    pub membership: Membership,
+    /// When its process last started, on the engine's clock; `None` is long ago.
+    pub started: Option<Nanos>,
+}
+
+/// What the engine knows of an instance.
+#[derive(Debug)]
+pub struct Known<A> {
+    pub name: String,
+    /// As last listed.
+    pub address: A,
+}
+
+pub(crate) struct Instances<A> {
+    known: Vec<Known<A>>,
+    numbers: HashMap<String, u32>,
+}
+
+impl<A> Instances<A> {
+    pub(crate) fn new() -> Self {
+        Instances { known: Vec::new(), numbers: HashMap::new() }
+    }
+
+    pub(crate) fn get(&self, number: u32) -> Option<&Known<A>> {
+        self.known.get(number as usize)
+    }
+
+    pub(crate) fn number(&self, name: &str) -> Option<u32> {
+        self.numbers.get(name).copied()
+    }
+
+    pub(crate) fn entry(&mut self, instance: Instance<A>) -> WorkerEntry {
+        let Instance { name, address, zone, kind, cell, membership, started } = instance;
+        let address_hash = crate::hash(name.as_bytes());
+        let number = match self.numbers.get(&name) {
+            Some(number) => {
+                self.known[*number as usize].address = address;
+                *number
+            }
+            None => {
+                let number = self.known.len() as u32;
+                self.numbers.insert(name.clone(), number);
+                self.known.push(Known { name, address });
+                number
+            }
+        };
+        WorkerEntry { worker: WorkerId(number), address_hash, zone, kind, cell, membership, started }
+    }
+}
--- /dev/null
+++ b/crates/engine/tests/promises.rs
@@ -0,0 +1,332 @@
+//! The engine's promises, held against random hosts: ones that answer late, twice, out of order or never.
+
+use std::collections::{HashMap, HashSet};
+
+use nickelflow::{Class, Contract, Effect, Group};
+use nickelflow_engine::{
+    hash, Answer, End, Engine, Execute, Input, Instance, Job, ListKind, Membership, Misuse, Nanos, Order,
+    Outcome, Report, Settings,
+};
+use proptest::prelude::*;
+
+const MS: Nanos = 1_000_000;
+
+type Hosted = Engine<u16, (), u32>;
+
+fn settings(effect: Effect) -> Settings {
+    Settings {
+        dispatchers: 1,
+        zone: 0,
+        classes: vec![Class {
+            effect,
+            window: 2_000 * MS,
+            aim: 100 * MS,
+            stretch: 2.0,
+            deadline: 1_000 * MS,
+            worth: 1.0,
+            late_worth: 0.5,
+            kind: None,
+        }],
+        tenants: vec![],
+        contract: Contract {
+            cold_from: 0.2,
+            cold: 1_000 * MS,
+            fall_multiple: 3.0,
+            fall: 500 * MS,
+            must_ask: 0,
+        },
+        must_subscribe: true,
+        can_probe: true,
+        reports_slots: true,
+        tells_start: true,
+        progress: 500 * MS,
+        can_cancel: true,
+        parallel_tries: true,
+        max_attempts: 3,
+        max_retry_after: 500 * MS,
+        resolution: MS,
+    }
+}
+
+fn instance(number: u32, membership: Membership) -> Instance<()> {
+    let name = format!("i{number}");
+    Instance { name, address: (), zone: 0, kind: 0, cell: number / 2, membership, started: None }
+}
+
+fn job(deadline: Nanos) -> Job {
+    Job { class: 0, tenant: None, slots: 1.0, memory: 0.0, key: Some(hash(b"k")), retry: false, deadline }
+}
+
+fn report(free: f64) -> Option<Report> {
+    Some(Report { free_slots: Some(free), ..Report::default() })
+}
+
+/// A host that checks every order against what it has seen.
+struct Host {
+    engine: Hosted,
+    now: Nanos,
+    orders: Vec<Order<u16, u32>>,
+    /// Each job taken: its deadline, how often it was answered, whether its client left.
+    jobs: HashMap<u16, (Nanos, u32, bool)>,
+    out: Vec<(u16, u32)>,
+    attempts: HashMap<u16, u32>,
+    cancelled: HashSet<(u16, u32)>,
+    probes: Vec<u32>,
+    most: u32,
+}
+
+impl Host {
+    fn new(effect: Effect) -> Host {
+        let mut host = Host {
+            engine: Engine::new(settings(effect), 5).expect("sound settings"),
+            now: 1_000 * MS,
+            orders: vec![],
+            jobs: HashMap::new(),
+            out: vec![],
+            attempts: HashMap::new(),
+            cancelled: HashSet::new(),
+            probes: vec![],
+            most: 3,
+        };
+        let instances = (0..4).map(|n| instance(n, Membership::Ready)).collect();
+        host.give(Input::Listed { kind: ListKind::Full, instances }).expect("a list");
+        host
+    }
+
+    fn give(&mut self, input: Input<u16, (), u32>) -> Result<(), Misuse> {
+        let result = self.engine.handle(self.now, input, &mut self.orders);
+        for order in std::mem::take(&mut self.orders) {
+            match order {
+                Order::Execute(Execute { id, attempt, instance, until }) => {
+                    let (deadline, answers, gone) = self.jobs[&id];
+                    assert!(answers == 0 && !gone, "an attempt for a job that is over");
+                    assert!(until > self.now && until <= deadline);
+                    assert!(self.engine.instance(instance).is_some());
+                    let next = self.attempts.entry(id).or_default();
+                    assert_eq!(attempt, *next);
+                    *next += 1;
+                    assert!(*next <= self.most);
+                    self.out.push((id, attempt));
+                }
+                Order::Cancel { id, attempt } => {
+                    assert!(self.out.contains(&(id, attempt)), "a cancel of what is not out");
+                    assert!(self.cancelled.insert((id, attempt)), "a second cancel");
+                }
+                Order::Answer { id, .. } => {
+                    let (deadline, answers, gone) = self.jobs.get_mut(&id).expect("a job");
+                    assert!(!*gone, "an answer to nobody");
+                    *answers += 1;
+                    assert_eq!(*answers, 1, "a second answer");
+                    assert!(self.now <= *deadline + 2 * MS, "a late answer");
+                }
+                Order::Probe { instance } => self.probes.push(instance),
+                Order::Subscribe => {}
+            }
+        }
+        result
+    }
+
+    fn pass(&mut self, to: Nanos) {
+        while let Some(at) = self.engine.next_wake().filter(|at| *at <= to) {
+            self.now = self.now.max(at);
+            self.give(Input::Wake).expect("a wake");
+        }
+        self.now = to;
+    }
+
+    fn end(&mut self, pick: usize, outcome: Outcome) {
+        if self.out.is_empty() {
+            return;
+        }
+        let (id, attempt) = self.out.swap_remove(pick % self.out.len());
+        let result = (outcome == Outcome::Ok).then_some(7);
+        self.give(Input::Ended { id, attempt, end: End { outcome, result, report: None } }).expect("its end");
+        // The same end once more is a mistake that changes nothing.
+        let end = End { outcome: Outcome::Ok, result: Some(8), report: None };
+        assert_eq!(self.give(Input::Ended { id, attempt, end }), Err(Misuse::NotOut));
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Job(u16, u64),
+    End(usize, Outcome),
+    Progress(usize),
+    Stream(usize),
+    Gone(u16),
+    Probe(u8),
+    Pass(u64),
+    List(u32, bool),
+    Ending,
+}
+
+fn outcome() -> impl Strategy<Value = Outcome> {
+    use Outcome::*;
+    prop::sample::select(vec![
+        Ok,
+        Ok,
+        Error,
+        Full,
+        Unusable,
+        Timeout,
+        ConnectFailed,
+        Reset,
+        Cancelled,
+        NotSent,
+    ])
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        6 => (0u16..40, 0u64..900).prop_map(|(id, left)| Step::Job(id, left)),
+        6 => (any::<usize>(), outcome()).prop_map(|(n, o)| Step::End(n, o)),
+        2 => any::<usize>().prop_map(Step::Progress),
+        1 => any::<usize>().prop_map(Step::Stream),
+        1 => (0u16..40).prop_map(Step::Gone),
+        5 => (0u8..6).prop_map(Step::Probe),
+        5 => (1u64..120).prop_map(Step::Pass),
+        1 => (0u32..6, any::<bool>()).prop_map(|(n, ready)| Step::List(n, ready)),
+        1 => Just(Step::Ending),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn every_job_has_one_answer_and_nothing_stays(
+        steps in prop::collection::vec(step(), 1..120),
+        effect in prop::sample::select(vec![Effect::Safe, Effect::Unsafe, Effect::Keyed(Group::Cell)]),
+    ) {
+        let mut host = Host::new(effect);
+        for step in steps {
+            match step {
+                Step::Job(id, left) if host.jobs.contains_key(&id) => {
+                    let (_, answers, gone) = host.jobs[&id];
+                    if answers == 0 && !gone || host.out.iter().any(|(job, _)| *job == id) {
+                        let again = Input::Job { id, job: job(host.now + left * MS) };
+                        prop_assert_eq!(host.give(again), Err(Misuse::JobOpen));
+                    }
+                }
+                Step::Job(id, left) => {
+                    let deadline = host.now + left * MS;
+                    host.jobs.insert(id, (deadline, 0, false));
+                    host.give(Input::Job { id, job: job(deadline) }).expect("a new job");
+                }
+                Step::End(pick, outcome) => host.end(pick, outcome),
+                Step::Progress(pick) if !host.out.is_empty() => {
+                    let (id, attempt) = host.out[pick % host.out.len()];
+                    host.give(Input::Progress { id, attempt }).expect("progress");
+                }
+                Step::Stream(pick) if !host.out.is_empty() => {
+                    let (id, attempt) = host.out[pick % host.out.len()];
+                    // From here on it has no deadline.
+                    if host.jobs[&id].1 == 0 {
+                        host.jobs.get_mut(&id).expect("a job").0 = Nanos::MAX / 2;
+                    }
+                    host.give(Input::Streaming { id, attempt }).expect("a stream");
+                }
+                Step::Gone(id) => {
+                    if let Some((_, 0, gone)) = host.jobs.get_mut(&id) {
+                        *gone = true;
+                    }
+                    host.give(Input::Gone { id }).expect("a client that leaves");
+                }
+                Step::Probe(free) => {
+                    if let Some(instance) = host.probes.pop() {
+                        let outcome = if free == 5 { Outcome::Timeout } else { Outcome::Ok };
+                        let report = report(f64::from(free));
+                        host.give(Input::Probed { instance, outcome, report }).expect("a probe's end");
+                    }
+                }
+                Step::Pass(ms) => host.pass(host.now + ms * MS),
+                Step::List(n, ready) => {
+                    let membership = if ready { Membership::Ready } else { Membership::Draining };
+                    let instances = vec![instance(n, membership)];
+                    host.give(Input::Listed { kind: ListKind::Changes, instances }).expect("news");
+                }
+                Step::Ending => {
+                    let by = host.now + 200 * MS;
+                    host.give(Input::Ending { by }).expect("an end");
+                }
+                Step::Progress(_) | Step::Stream(_) => {}
+            }
+        }
+        host.pass(host.now + 2_000 * MS);
+        while !host.out.is_empty() {
+            host.end(0, Outcome::Timeout);
+        }
+        host.pass(host.now + 2_000 * MS);
+        prop_assert!(host.jobs.values().all(|(_, answers, gone)| answers + u32::from(*gone) == 1));
+        prop_assert_eq!(host.engine.open_jobs(), 0);
+    }
+}
+
+/// A host with one instance of four free slots, and job 1 sent to it.
+fn sent() -> Host {
+    let mut host = Host::new(Effect::Safe);
+    host.pass(host.now + 100 * MS);
+    for instance in std::mem::take(&mut host.probes) {
+        host.give(Input::Probed { instance, outcome: Outcome::Ok, report: report(4.0) })
+            .expect("a probe's end");
+    }
+    let deadline = host.now + 900 * MS;
+    host.jobs.insert(1, (deadline, 0, false));
+    host.give(Input::Job { id: 1, job: job(deadline) }).expect("a job");
+    assert_eq!(host.out, [(1, 0)]);
+    host
+}
+
+#[test]
+fn an_ok_without_a_result_serves_nobody() {
+    let mut host = sent();
+    host.out.clear();
+    host.give(Input::Ended { id: 1, attempt: 0, end: Outcome::Ok.into() }).expect("an end");
+    assert_eq!(host.jobs[&1].1, 0);
+    assert_eq!(host.out, [(1, 1)], "it is tried again");
+}
+
+#[test]
+fn a_broken_stream_fails_its_job_at_once_and_is_not_sent_again() {
+    let mut host = sent();
+    host.give(Input::Streaming { id: 1, attempt: 0 }).expect("a stream");
+    host.jobs.get_mut(&1).expect("it").0 = Nanos::MAX / 2;
+    host.pass(host.now + 5_000 * MS);
+    assert_eq!(host.jobs[&1].1, 0, "a stream has no deadline");
+    let end = Outcome::Reset.into();
+    let mut orders = vec![];
+    host.engine.handle(host.now, Input::Ended { id: 1, attempt: 0, end }, &mut orders).expect("an end");
+    assert_eq!(orders.first(), Some(&Order::Answer { id: 1, answer: Answer::Failed }));
+    assert_eq!(host.engine.open_jobs(), 0);
+}
+
+#[test]
+fn two_events_of_one_moment_are_taken_in_their_order() {
+    let mut host = sent();
+    // The result and the client's leaving, at the same nanosecond: whichever is given first counts.
+    let end = End { outcome: Outcome::Ok, result: Some(3), report: None };
+    host.give(Input::Ended { id: 1, attempt: 0, end }).expect("an end");
+    host.give(Input::Gone { id: 1 }).expect("passed over");
+    assert_eq!(host.jobs[&1].1, 1);
+}
+
+#[test]
+fn a_clock_at_its_ends_neither_panics_nor_loses_a_job() {
+    for start in [0, Nanos::MAX / 2, Nanos::MAX - 10_000 * MS] {
+        let mut engine: Hosted = Engine::new(settings(Effect::Safe), 1).expect("sound settings");
+        let mut orders = vec![];
+        engine.handle(start, Input::Job { id: 1, job: job(start + 500 * MS) }, &mut orders).expect("a job");
+        while orders.is_empty() {
+            let at = engine.next_wake().expect("it wakes until all is answered");
+            engine.handle(at, Input::Wake, &mut orders).expect("a wake");
+        }
+        assert!(matches!(orders[..], [Order::Answer { id: 1, .. }]), "{orders:?}");
+    }
+}
+
+#[test]
+fn the_hash_is_fnv_1a() {
+    // Test vectors of draft-eastlake-fnv.
+    assert_eq!(hash(b""), 0xcbf2_9ce4_8422_2325);
+    assert_eq!(hash(b"foobar"), 0x8594_4171_f739_67e8);
+}
--- a/crates/simhost/src/instance.rs
+++ b/crates/simhost/src/instance.rs
@@ -1,94 +1,66 @@
-//! One instance: its dispatcher, and the names that stand on the wire for the numbers that it uses.
+//! One instance: its engine, and the wire's words for what goes in and comes out.
 
-use std::collections::HashMap;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 
-use nickelflow::{
-    Action, Class, Contract, Dispatcher, Effect, Event, Group, ListKind, Membership, Outcome, Report,
-    Request, RequestId, Settings, Tenant, WorkerEntry, WorkerId,
+use nickelflow::{Class, Contract, Effect, Group, Tenant};
+use nickelflow_engine::{
+    hash, Answer, End, Engine, Execute, Input, Instance as Listed, Job, ListKind, Membership, Nanos, Order,
+    Outcome, Report, Settings,
 };
 
 use crate::wire::{self, Code, Incoming, Step};
 
+/// On the wire a job is known by its id, an instance by its address, and results do not pass.
+type Wired = Engine<String, (), ()>;
+
 #[derive(Default)]
 pub struct Instance {
-    dispatcher: Option<Dispatcher>,
-    workers: Vec<String>,
-    worker_numbers: HashMap<String, u32>,
-    requests: HashMap<u64, Names>,
-    request_numbers: HashMap<String, u64>,
-    next_request: u64,
-    actions: Vec<Action>,
-    /// Requests of this batch that may be over.
-    ended: Vec<u64>,
+    engine: Option<Wired>,
+    now: Nanos,
+    orders: Vec<Order<String, ()>>,
+    /// The soonest timer that has been asked for and has not come.
+    armed: Option<Nanos>,
+    /// The timer to ask for with this batch's answer.
+    arm: Option<Nanos>,
     failed: Option<String>,
 }
 
-/// A request's name, kept until it is over and all its attempts are in.
-struct Names {
-    id: String,
-    out: u32,
-    over: bool,
-}
-
-/// FNV-1a: the same for every instance and build, so that all hash a key or an address alike.
-fn hash(text: &str) -> u64 {
-    text.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
-}
-
 impl Instance {
-    pub fn take(&mut self, now: u64, inbox: Vec<Incoming>) -> Result<(), String> {
+    pub fn take(&mut self, now: Nanos, inbox: Vec<Incoming>) -> Result<(), String> {
+        self.now = now;
         for incoming in inbox {
             match incoming {
                 Incoming::Boot { random_seed, env } => {
-                    *self = Instance::default();
-                    let settings = settings(&env)?;
-                    let dispatcher = Dispatcher::new(settings, random_seed).map_err(|e| e.to_string())?;
-                    self.dispatcher = Some(dispatcher);
+                    let engine = Engine::new(settings(&env)?, random_seed).map_err(|e| e.to_string())?;
+                    *self = Instance { engine: Some(engine), now, ..Instance::default() };
                 }
                 Incoming::Stop => *self = Instance::default(),
                 other => {
-                    if let Some(event) = self.event(other) {
-                        self.handle(now, event);
+                    if let Some(input) = self.input(other) {
+                        self.handle(input);
                     }
                 }
             }
         }
+        let wanted = self.engine.as_ref().and_then(Engine::next_wake);
+        if let Some(at) = wanted.filter(|at| self.armed.is_none_or(|armed| *at < armed)) {
+            (self.armed, self.arm) = (wanted, Some(at));
+        }
         Ok(())
     }
 
-    fn handle(&mut self, now: u64, event: Event) {
-        let over = match &event {
-            Event::Outcome { request, finished, .. } => Some((*request, *finished, true)),
-            Event::ClientGone { request } => Some((*request, true, false)),
-            _ => None,
-        };
-        let (Some(dispatcher), None) = (self.dispatcher.as_mut(), self.failed.as_ref()) else { return };
-        let before = self.actions.len();
-        let actions = &mut self.actions;
-        if let Err(panic) = catch_unwind(AssertUnwindSafe(|| dispatcher.handle(now, event, actions))) {
-            let text = panic.downcast_ref::<&str>().map(|s| (*s).to_owned());
-            let text = text.or_else(|| panic.downcast_ref::<String>().cloned());
-            self.failed = Some(text.unwrap_or_else(|| "the module panicked".to_owned()));
-        }
-        for action in &self.actions[before..] {
-            let (request, sent) = match action {
-                Action::Send { request, .. } => (request, true),
-                Action::Refuse { request, .. } | Action::Fail { request } => (request, false),
-                _ => continue,
-            };
-            if let Some(names) = self.requests.get_mut(&request.0) {
-                names.out += u32::from(sent);
-                names.over |= !sent;
+    fn handle(&mut self, input: Input<String, (), ()>) {
+        let (Some(engine), None) = (self.engine.as_mut(), self.failed.as_ref()) else { return };
+        let (now, orders) = (self.now, &mut self.orders);
+        match catch_unwind(AssertUnwindSafe(|| engine.handle(now, input, orders))) {
+            // What the wire says of what is not there is passed over, as the wire asks.
+            Ok(_) => {}
+            Err(panic) => {
+                let text = panic.downcast_ref::<&str>().map(|s| (*s).to_owned());
+                let text = text.or_else(|| panic.downcast_ref::<String>().cloned());
+                self.failed = Some(text.unwrap_or_else(|| "the module panicked".to_owned()));
             }
         }
-        if let Some((request, finished, returned)) = over {
-            if let Some(names) = self.requests.get_mut(&request.0) {
-                names.over |= finished;
-                names.out = names.out.saturating_sub(u32::from(returned));
-            }
-            self.ended.push(request.0);
-        }
     }
 
     /// The answer to the batch.
@@ -96,128 +68,94 @@
         if let Some(line) = &self.failed {
             return vec![Step::GiveIn { line: line.clone() }];
         }
-        self.actions.iter().filter_map(|action| self.step(action)).collect()
+        let arm = self.arm.map(|at| Step::Arm { key_back: 0, moment_ns: at });
+        self.orders.iter().filter_map(|order| self.step(order)).chain(arm).collect()
     }
 
-    fn step(&self, action: &Action) -> Option<Step<'_>> {
-        let id = |request: &RequestId| Some(self.requests.get(&request.0)?.id.as_str());
-        let runner = |worker: &WorkerId| Some(self.workers.get(worker.0 as usize)?.as_str());
-        Some(match action {
-            Action::Send { request, worker, timeout } => {
-                Step::Route { id: id(request)?, runner: runner(worker)?, max_wait_ns: *timeout }
+    fn step<'a>(&'a self, order: &'a Order<String, ()>) -> Option<Step<'a>> {
+        let runner = |number: u32| Some(self.engine.as_ref()?.instance(number)?.name.as_str());
+        Some(match order {
+            Order::Execute(Execute { id, instance, until, .. }) => {
+                Step::Route { id, runner: runner(*instance)?, max_wait_ns: until.saturating_sub(self.now) }
             }
-            Action::Cancel { request, attempt } => Step::Revoke { id: id(request)?, seq_no: *attempt },
-            Action::Refuse { request, retry_after } => {
-                Step::Decline { id: id(request)?, pause_ns: *retry_after }
+            Order::Cancel { id, attempt } => Step::Revoke { id, seq_no: *attempt },
+            Order::Answer { id, answer: Answer::Refused { retry_after } } => {
+                Step::Decline { id, pause_ns: *retry_after }
             }
-            Action::Fail { request } => Step::Lose { id: id(request)? },
-            Action::Probe { worker } => Step::Inspect { runner: runner(worker)? },
-            Action::Subscribe => Step::Follow { active: true },
-            Action::Wake { at } => Step::Arm { key_back: 0, moment_ns: *at },
+            Order::Answer { id, answer: Answer::Failed } => Step::Lose { id },
+            // The simulator gives the client the result by itself.
+            Order::Answer { answer: Answer::Served(()), .. } => return None,
+            Order::Probe { instance } => Step::Inspect { runner: runner(*instance)? },
+            Order::Subscribe => Step::Follow { active: true },
         })
     }
 
-    /// The answer has gone out: forgets it, and the names that no message can use any more.
+    /// The answer has gone out: forgets it.
     pub fn sent(&mut self) {
-        let mut touched = std::mem::take(&mut self.ended);
-        for action in self.actions.drain(..) {
-            if let Action::Refuse { request, .. } | Action::Fail { request } = action {
-                touched.push(request.0);
-            }
-        }
-        for request in touched {
-            self.forget(request);
-        }
-    }
-
-    fn forget(&mut self, request: u64) {
-        if self.requests.get(&request).is_some_and(|names| names.over && names.out == 0) {
-            if let Some(names) = self.requests.remove(&request) {
-                self.request_numbers.remove(&names.id);
-            }
-        }
-    }
-
-    fn worker(&mut self, name: &str) -> WorkerId {
-        if let Some(number) = self.worker_numbers.get(name) {
-            return WorkerId(*number);
-        }
-        let number = self.workers.len() as u32;
-        self.workers.push(name.to_owned());
-        self.worker_numbers.insert(name.to_owned(), number);
-        WorkerId(number)
+        self.orders.clear();
+        self.arm = None;
     }
 
-    fn event(&mut self, incoming: Incoming) -> Option<Event> {
+    fn input(&mut self, incoming: Incoming) -> Option<Input<String, (), ()>> {
         Some(match incoming {
             Incoming::DirectoryUpdate { kind, nodes_list } => {
-                let entries = nodes_list.unwrap_or_default().iter().map(|n| self.entry(n)).collect();
+                let instances = nodes_list.unwrap_or_default().into_iter().map(listed).collect();
                 let kind = match kind {
                     wire::Kind::Incremental => ListKind::Changes,
                     wire::Kind::Full => ListKind::Full,
                     wire::Kind::Saved => ListKind::Saved,
                     wire::Kind::Failed => ListKind::Failed,
                 };
-                Event::Workers { kind, entries }
+                Input::Listed { kind, instances }
             }
-            Incoming::Ingress(ingress) => {
-                let number = self.next_request;
-                self.next_request += 1;
-                self.request_numbers.insert(ingress.id.clone(), number);
-                self.requests.insert(number, Names { id: ingress.id, out: 0, over: false });
-                Event::Request(Request {
-                    id: RequestId(number),
+            Incoming::Ingress(ingress) => Input::Job {
+                id: ingress.id,
+                job: Job {
                     class: ingress.service,
                     tenant: ingress.owner,
                     slots: ingress.cores_needed.unwrap_or(1.0),
                     memory: ingress.mem.unwrap_or(0.0),
-                    key: ingress.item.as_deref().map(hash),
-                    time_left: ingress.left_ns,
+                    key: ingress.item.as_deref().map(|item| hash(item.as_bytes())),
+                    deadline: self.now.saturating_add(ingress.left_ns),
                     retry: ingress.retry.unwrap_or(false),
-                })
-            }
-            Incoming::UnderWay { id, seq_no } => {
-                Event::Streaming { request: self.request(&id)?, attempt: seq_no }
+                },
+            },
+            Incoming::UnderWay { id, seq_no } => Input::Streaming { id, attempt: seq_no },
+            Incoming::Progress { id, seq_no } => Input::Progress { id, attempt: seq_no },
+            Incoming::Resolved { id, code, seq_no, health_info } => {
+                let outcome = outcome(code);
+                let result = (outcome == Outcome::Ok).then_some(());
+                let end = End { outcome, result, report: health_info.as_ref().map(report) };
+                Input::Ended { id, attempt: seq_no, end }
             }
-            Incoming::Progress { id, seq_no } => {
-                Event::Progress { request: self.request(&id)?, attempt: seq_no }
+            Incoming::CancelledByClient { id } => Input::Gone { id },
+            Incoming::Timer {} => {
+                self.armed = self.armed.filter(|at| *at > self.now);
+                Input::Wake
             }
-            Incoming::Resolved { id, finished, code, seq_no, health_info } => Event::Outcome {
-                request: self.request(&id)?,
-                attempt: seq_no,
-                outcome: outcome(code),
-                finished: finished.unwrap_or(false),
-                report: health_info.as_ref().map(report),
-            },
-            Incoming::CancelledByClient { id } => Event::ClientGone { request: self.request(&id)? },
-            Incoming::Timer {} => Event::Wake,
-            Incoming::Sampled { runner, code, health_info } => Event::Probed {
-                worker: WorkerId(*self.worker_numbers.get(&runner)?),
+            Incoming::Sampled { runner, code, health_info } => Input::Probed {
+                instance: self.engine.as_ref()?.instance_number(&runner)?,
                 outcome: outcome(code),
                 report: health_info.as_ref().map(report),
             },
             Incoming::Boot { .. } | Incoming::Stop | Incoming::Other => return None,
         })
     }
+}
 
-    fn request(&self, id: &str) -> Option<RequestId> {
-        self.request_numbers.get(id).map(|number| RequestId(*number))
-    }
-
-    fn entry(&mut self, node: &wire::Node) -> WorkerEntry {
-        WorkerEntry {
-            worker: self.worker(&node.runner),
-            address_hash: hash(&node.runner),
-            zone: node.hall.unwrap_or(0),
-            kind: node.flavor.unwrap_or(0),
-            cell: node.block.unwrap_or(0),
-            membership: match node.state {
-                wire::State::Ready => Membership::Ready,
-                wire::State::Draining => Membership::Draining,
-                wire::State::Gone => Membership::Gone,
-            },
-            started: node.born_ns.filter(|t| *t > 0),
-        }
+fn listed(node: wire::Node) -> Listed<()> {
+    Listed {
+        name: node.runner,
+        address: (),
+        zone: node.hall.unwrap_or(0),
+        kind: node.flavor.unwrap_or(0),
+        cell: node.block.unwrap_or(0),
+        membership: match node.state {
+            wire::State::Ready => Membership::Ready,
+            wire::State::Draining => Membership::Draining,
+            wire::State::Gone => Membership::Gone,
+        },
+        started: node.born_ns.filter(|t| *t > 0),
     }
 }
 
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -38,7 +38,6 @@
     },
     Resolved {
         id: String,
-        finished: Option<bool>,
         code: Code,
         seq_no: u32,
         health_info: Option<Health>,
--- a/crates/simhost/tests/wire.rs
+++ b/crates/simhost/tests/wire.rs
@@ -94,7 +94,8 @@
     let steps = |n: usize| &replies[n][0].1;
     assert!(steps(0).contains(&json!({"event_type": "follow", "active": true})));
     assert!(steps(1).contains(&json!({"event_type": "inspect", "runner": "10.0.0.1:80"})));
-    let route = json!({"event_type": "route", "id": "a", "runner": "10.0.0.1:80", "max_wait_ns": 0});
+    let route =
+        json!({"event_type": "route", "id": "a", "runner": "10.0.0.1:80", "max_wait_ns": 5_000_000_000u64});
     assert!(steps(2).contains(&route), "{:?}", steps(2));
 }
 
