Add the laboratory: the whole service in virtual time, with its rules checked from outside

Change: crates/lab plays scenarios (TOML, every figure bounded by its type) on a queue of events in whole nanoseconds, with one random stream for each concern, so that policies meet the same requests under one seed. Models: workers, archive, network, discovery, clients, faults. The engine with the module, seven baselines from their papers, an oracle and the paper's bare scheme stand behind one trait. The auditor sees only the world's record.

--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,17 @@
+//! nickelflow-lab: plays scenarios in virtual time, compares policies, and traces single requests.
+
+mod commands;
+
+use std::process::ExitCode;
+
+use clap::Parser;
+
+fn main() -> ExitCode {
+    match commands::Cli::parse().run() {
+        Ok(code) => code,
+        Err(why) => {
+            eprintln!("nickelflow-lab: {why}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/policy/frame.rs
@@ -0,0 +1,329 @@
+//! What all baselines share: the list, retries within what the classes allow, the answer before the deadline.
+//! A baseline adds only its [`Pick`]. None holds jobs: with nobody to pick, a job is refused.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+use fnv::FnvHashMap;
+use nickelflow::{Effect, Group, Settings};
+use nickelflow_engine::{hash, Answer, Execute, Job, ListKind, Membership, Nanos, Outcome, Report};
+
+use super::{Input, Order, Place, Policy, Truth};
+use crate::random::{self, Concern, Random};
+use crate::time::MS;
+
+/// Before the deadline, so that the answer is there in time.
+const MARGIN: Nanos = 2 * MS;
+
+/// An instance, as a baseline sees it.
+pub struct Seen {
+    pub place: Place,
+    pub hash: u64,
+    pub cell: u32,
+    pub ready: bool,
+    /// Own attempts out to it.
+    pub out: u32,
+    /// What it last reported, when, and own sends since.
+    pub report: Option<(Nanos, Report)>,
+    pub since: u32,
+}
+
+impl Seen {
+    /// Jobs that it holds, by its last report and own sends since; own attempts where there is no report.
+    pub fn held(&self) -> f64 {
+        let Some((_, report)) = self.report else { return f64::from(self.out) };
+        // Reports tell free slots, not how many there are: against each other that is as good.
+        report.queued.unwrap_or(0.0) - report.free_slots.unwrap_or(0.0) + f64::from(self.since)
+    }
+}
+
+/// What every baseline knows.
+pub struct Facts {
+    pub settings: Settings,
+    pub random: Random,
+    pub seen: Vec<Seen>,
+    /// Those that are ready.
+    pub ready: Vec<u32>,
+    numbers: FnvHashMap<String, u32>,
+}
+
+impl Facts {
+    pub fn new(settings: &Settings, seed: u64) -> Facts {
+        Facts {
+            settings: settings.clone(),
+            random: random::stream(seed, Concern::Policy, 0),
+            seen: Vec::new(),
+            ready: Vec::new(),
+            numbers: FnvHashMap::default(),
+        }
+    }
+
+    /// One of some instances, evenly.
+    pub fn any(&mut self, of: &[u32]) -> Option<u32> {
+        let index = (random::unit(&mut self.random) * of.len() as f64) as usize;
+        of.get(index).copied()
+    }
+
+    /// Takes a list. Tells what it does not know yet.
+    pub fn list(&mut self, kind: ListKind, instances: Vec<nickelflow_engine::Instance<Place>>) -> Vec<u32> {
+        if kind == ListKind::Failed {
+            return Vec::new();
+        }
+        if kind != ListKind::Changes {
+            self.seen.iter_mut().for_each(|seen| seen.ready = false);
+        }
+        let mut new = Vec::new();
+        for instance in instances {
+            let ready = instance.membership == Membership::Ready;
+            let number = *self.numbers.entry(instance.name.clone()).or_insert(self.seen.len() as u32);
+            if number as usize == self.seen.len() {
+                new.push(number);
+                let hash = hash(instance.name.as_bytes());
+                let (place, cell) = (instance.address, instance.cell);
+                self.seen.push(Seen { place, hash, cell, ready, out: 0, report: None, since: 0 });
+            }
+            let seen = &mut self.seen[number as usize];
+            (seen.place, seen.ready, seen.cell) = (instance.address, ready, instance.cell);
+        }
+        self.ready = (0..self.seen.len() as u32).filter(|n| self.seen[*n as usize].ready).collect();
+        new
+    }
+}
+
+/// How a baseline chooses.
+pub trait Pick: Send {
+    /// One of the candidates, which are not empty; instances to probe may be appended.
+    fn pick(
+        &mut self,
+        now: Nanos,
+        job: &Job,
+        candidates: &[u32],
+        facts: &mut Facts,
+        truth: Truth<'_>,
+        probes: &mut Vec<u32>,
+    ) -> Option<u32>;
+
+    /// An instance has answered a probe.
+    fn probed(&mut self, _now: Nanos, _instance: u32, _report: Option<Report>, _facts: &mut Facts) {}
+}
+
+struct Attempt {
+    instance: u32,
+    sent: Nanos,
+    out: bool,
+    ran: bool,
+}
+
+struct Open {
+    job: Job,
+    attempts: Vec<Attempt>,
+    over: bool,
+}
+
+pub struct Frame<P> {
+    facts: Facts,
+    pick: P,
+    open: FnvHashMap<u64, Open>,
+    wakes: BinaryHeap<Reverse<(Nanos, u64)>>,
+    subscribed: bool,
+    retry: Option<Nanos>,
+    ending: Option<Nanos>,
+    probes: Vec<u32>,
+}
+
+impl<P: Pick> Frame<P> {
+    pub fn new(facts: Facts, pick: P) -> Frame<P> {
+        Frame {
+            facts,
+            pick,
+            open: FnvHashMap::default(),
+            wakes: BinaryHeap::new(),
+            subscribed: false,
+            retry: None,
+            ending: None,
+            probes: Vec::new(),
+        }
+    }
+
+    /// Sends a job on, or answers it.
+    fn go_on(&mut self, now: Nanos, id: u64, truth: Truth<'_>, orders: &mut Vec<Order>) {
+        let Some(open) = self.open.get(&id).filter(|open| !open.over) else { return };
+        if open.attempts.iter().any(|a| a.out) {
+            return;
+        }
+        let class = &self.facts.settings.classes[open.job.class as usize];
+        let ran = open.attempts.iter().find(|a| a.ran);
+        let mut allowed = open.attempts.len() < self.facts.settings.max_attempts as usize
+            && now + MARGIN < open.job.deadline
+            && self.ending.is_none_or(|by| now < by);
+        let mut cell = None;
+        if let Some(first) = ran {
+            match class.effect {
+                Effect::Safe | Effect::Keyed(Group::All | Group::Zone) => {}
+                Effect::Keyed(Group::Cell) => {
+                    cell = self.facts.seen.get(first.instance as usize).map(|seen| seen.cell);
+                    allowed &= now < first.sent + class.window;
+                }
+                Effect::Unsafe => allowed = false,
+            }
+        }
+        let tried: Vec<u32> = open.attempts.iter().map(|a| a.instance).collect();
+        let picked = if allowed {
+            let mut candidates = std::mem::take(&mut self.facts.ready);
+            let picked = if tried.is_empty() && cell.is_none() {
+                self.choose(now, id, &candidates, truth)
+            } else {
+                let seen = &self.facts.seen;
+                let suits = |n: &&u32| cell.is_none_or(|cell| seen[**n as usize].cell == cell);
+                let fresh: Vec<u32> =
+                    candidates.iter().filter(suits).filter(|n| !tried.contains(n)).copied().collect();
+                self.choose(now, id, &fresh, truth)
+            };
+            std::mem::swap(&mut self.facts.ready, &mut candidates);
+            picked
+        } else {
+            None
+        };
+        match picked {
+            Some(instance) => self.send(now, id, instance, orders),
+            None => self.answer(id, orders),
+        }
+        for instance in self.probes.drain(..) {
+            orders.push(Order::Probe { instance });
+        }
+    }
+
+    fn choose(&mut self, now: Nanos, id: u64, candidates: &[u32], truth: Truth<'_>) -> Option<u32> {
+        let job = &self.open.get(&id)?.job;
+        if candidates.is_empty() {
+            return None;
+        }
+        self.pick.pick(now, job, candidates, &mut self.facts, truth, &mut self.probes)
+    }
+
+    fn send(&mut self, now: Nanos, id: u64, instance: u32, orders: &mut Vec<Order>) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        let attempt = open.attempts.len() as u32;
+        open.attempts.push(Attempt { instance, sent: now, out: true, ran: true });
+        if let Some(seen) = self.facts.seen.get_mut(instance as usize) {
+            seen.out += 1;
+            seen.since += 1;
+        }
+        let until = open.job.deadline;
+        orders.push(Order::Execute(Execute { id, attempt, instance, until }));
+    }
+
+    /// The final answer, and an end to whatever is still out.
+    fn answer(&mut self, id: u64, orders: &mut Vec<Order>) {
+        let Some(open) = self.open.get_mut(&id).filter(|open| !open.over) else { return };
+        open.over = true;
+        let class = &self.facts.settings.classes[open.job.class as usize];
+        let ran = open.attempts.iter().any(|a| a.ran);
+        let harmless = !ran || matches!(class.effect, Effect::Safe | Effect::Keyed(Group::All));
+        let retry_after = self.facts.settings.max_retry_after;
+        let answer = if harmless { Answer::Refused { retry_after } } else { Answer::Failed };
+        orders.push(Order::Answer { id, answer });
+        self.call_back(id, orders);
+        self.forget(id);
+    }
+
+    fn call_back(&self, id: u64, orders: &mut Vec<Order>) {
+        let Some(open) = self.open.get(&id) else { return };
+        let out = open.attempts.iter().enumerate().filter(|(_, a)| a.out);
+        orders.extend(out.map(|(n, _)| Order::Cancel { id, attempt: n as u32 }));
+    }
+
+    fn forget(&mut self, id: u64) {
+        if self.open.get(&id).is_some_and(|open| open.over && open.attempts.iter().all(|a| !a.out)) {
+            self.open.remove(&id);
+        }
+    }
+
+    fn ended(
+        &mut self,
+        now: Nanos,
+        id: u64,
+        attempt: u32,
+        outcome: Outcome,
+        truth: Truth<'_>,
+        orders: &mut Vec<Order>,
+    ) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        let Some(a) = open.attempts.get_mut(attempt as usize).filter(|a| a.out) else { return };
+        a.out = false;
+        a.ran = !outcome.never_ran();
+        if let Some(seen) = self.facts.seen.get_mut(a.instance as usize) {
+            seen.out = seen.out.saturating_sub(1);
+        }
+        if outcome == Outcome::Ok && !open.over {
+            open.over = true;
+            orders.push(Order::Answer { id, answer: Answer::Served(()) });
+            self.call_back(id, orders);
+        } else if !open.over {
+            self.go_on(now, id, truth, orders);
+        }
+        self.forget(id);
+    }
+}
+
+impl<P: Pick> Policy for Frame<P> {
+    fn handle(&mut self, now: Nanos, input: Input, truth: Truth<'_>, orders: &mut Vec<Order>) {
+        match input {
+            Input::Listed { kind, instances } => {
+                if !std::mem::replace(&mut self.subscribed, true) {
+                    orders.push(Order::Subscribe);
+                }
+                if kind == ListKind::Failed {
+                    let pause = (500.0 + 1_000.0 * random::unit(&mut self.facts.random)) * MS as f64;
+                    self.retry = Some(now + pause as Nanos);
+                }
+                self.facts.list(kind, instances);
+            }
+            Input::Job { id, job } => {
+                self.wakes.push(Reverse((job.deadline.saturating_sub(MARGIN), id)));
+                self.open.insert(id, Open { job, attempts: Vec::new(), over: false });
+                self.go_on(now, id, truth, orders);
+            }
+            Input::Gone { id } => {
+                if let Some(open) = self.open.get_mut(&id).filter(|open| !open.over) {
+                    open.over = true;
+                    self.call_back(id, orders);
+                    self.forget(id);
+                }
+            }
+            Input::Ended { id, attempt, end } => self.ended(now, id, attempt, end.outcome, truth, orders),
+            Input::Probed { instance, outcome, report } => {
+                let report = report.filter(|_| outcome == Outcome::Ok);
+                if let (Some(seen), Some(report)) = (self.facts.seen.get_mut(instance as usize), report) {
+                    (seen.report, seen.since) = (Some((now, report)), 0);
+                }
+                self.pick.probed(now, instance, report, &mut self.facts);
+            }
+            Input::Ending { by } => {
+                self.ending = Some(by);
+                self.wakes.extend(self.open.keys().map(|id| Reverse((by, *id))));
+            }
+            Input::Wake => {
+                if self.retry.is_some_and(|at| at <= now) {
+                    self.retry = None;
+                    orders.push(Order::Subscribe);
+                }
+                while self.wakes.peek().is_some_and(|Reverse((at, _))| *at <= now) {
+                    if let Some(Reverse((_, id))) = self.wakes.pop() {
+                        self.answer(id, orders);
+                    }
+                }
+            }
+            Input::Progress { .. } | Input::Streaming { .. } => {}
+        }
+    }
+
+    fn next_wake(&self) -> Option<Nanos> {
+        let wake = self.wakes.peek().map(|Reverse((at, _))| *at);
+        wake.into_iter().chain(self.retry).min()
+    }
+
+    fn place(&self, instance: u32) -> Option<Place> {
+        Some(self.facts.seen.get(instance as usize)?.place)
+    }
+}
