Let the laboratory write its results as JSON, CSV and one HTML page with plots

Need: a change must be seen, over time and beside what it is compared with. Change: report.rs keeps results as a document (serde_json) and draws it as a page that needs nothing beside itself: goodput, latency, queues, probes and connections over time with faults shaded, each tenant's part, and the findings; policies or files side by side.

--- a/crates/lab/src/commands.rs
+++ b/crates/lab/src/commands.rs
@@ -8,6 +8,7 @@
 use clap::{Args, Parser, Subcommand};
 use indicatif::{ProgressBar, ProgressStyle};
 use nickelflow_lab::policy::{self, Kind};
+use nickelflow_lab::report::{html, Document};
 use nickelflow_lab::runs::{self, Figure, Judgement, Mean, Run};
 use nickelflow_lab::scenario::Scenario;
 use nickelflow_lab::world::{Watch, World};
@@ -65,6 +66,13 @@
         #[arg(long, default_value_t = 1)]
         seed: u64,
     },
+    /// Write one HTML page from results that `run --json` kept, the files beside each other.
+    Report {
+        #[arg(required = true)]
+        files: Vec<PathBuf>,
+        #[arg(long, short)]
+        output: PathBuf,
+    },
     /// Play all policies on scenarios and print one table.
     Table {
         scenarios: Vec<PathBuf>,
@@ -106,6 +114,9 @@
     /// Write all figures of all runs as JSON.
     #[arg(long)]
     json: Option<PathBuf>,
+    /// Write a page with plots, the policies beside each other.
+    #[arg(long)]
+    html: Option<PathBuf>,
     /// Write one line a run as CSV.
     #[arg(long)]
     csv: Option<PathBuf>,
@@ -183,6 +194,7 @@
             Command::Trace { scenario, request, policy, seed } => {
                 trace(&load(&scenario)?, request, policy, seed)
             }
+            Command::Report { files, output } => report(&files, &output),
             Command::Table { scenarios, seeds } => table(&scenarios, &seeds.all()),
             Command::Check { files } => check(&files),
             Command::List { folder } => list(&folder),
@@ -202,8 +214,14 @@
         broken += runs.iter().map(|run| run.verdict.broken()).sum::<u64>();
         all.push((kind, runs));
     }
+    let mut document = Document::new(scenario);
+    all.iter().for_each(|(kind, runs)| document.add(kind.name(), runs));
     if let Some(path) = &args.json {
-        write(path, &as_json(scenario, &all))?;
+        let text = serde_json::to_string(&document).map_err(|e| format!("JSON: {e}"))?;
+        write(path, &(text + "\n"))?;
+    }
+    if let Some(path) = &args.html {
+        write(path, &html(&document)?)?;
     }
     if let Some(path) = &args.csv {
         write(path, &as_csv(scenario, &all)?)?;
@@ -250,16 +268,27 @@
     named.join(", ")
 }
 
-fn as_json(scenario: &Scenario, all: &[(Kind, Vec<Run>)]) -> String {
-    let run = |run: &Run| {
-        let findings: Vec<String> = run.verdict.findings.iter().map(ToString::to_string).collect();
-        json!({"seed": run.seed, "digest": format!("{:016x}", run.digest), "summary": run.summary,
-               "rules_broken": run.verdict.broken(), "findings": findings})
-    };
-    let lots = all
-        .iter()
-        .map(|(kind, runs)| json!({"policy": kind.name(), "runs": runs.iter().map(run).collect::<Vec<_>>()}));
-    json!({"scenario": scenario.name, "policies": lots.collect::<Vec<_>>()}).to_string() + "\n"
+/// Results of one scenario from several files; where labels meet, the file's name tells them apart.
+fn report(files: &[PathBuf], output: &Path) -> Result<ExitCode, String> {
+    let mut whole: Option<Document> = None;
+    for file in files {
+        let path = file.display();
+        let text = std::fs::read_to_string(file).map_err(|e| format!("{path}: {e}"))?;
+        let mut document: Document = serde_json::from_str(&text).map_err(|e| format!("{path}: {e}"))?;
+        if files.len() > 1 {
+            let stem = file.file_stem().map(|stem| stem.to_string_lossy().into_owned()).unwrap_or_default();
+            document.lots.iter_mut().for_each(|lot| lot.label = format!("{stem}: {}", lot.label));
+        }
+        match &mut whole {
+            Some(whole) if whole.scenario != document.scenario => {
+                return Err(format!("{path}: of scenario {}, not {}", document.scenario, whole.scenario));
+            }
+            Some(whole) => whole.lots.append(&mut document.lots),
+            None => whole = Some(document),
+        }
+    }
+    write(output, &html(&whole.ok_or("no files")?)?)?;
+    Ok(ExitCode::SUCCESS)
 }
 
 fn as_csv(scenario: &Scenario, all: &[(Kind, Vec<Run>)]) -> Result<String, String> {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod queue;
 pub mod random;
 pub mod record;
+pub mod report;
 pub mod runs;
 pub mod scenario;
 pub mod stats;
--- a/crates/lab/src/runs.rs
+++ b/crates/lab/src/runs.rs
@@ -89,8 +89,8 @@
 }
 
 impl Figure {
-    pub fn of(self, run: &Run) -> f64 {
-        let s = &run.summary;
+    /// The figure of one run, of which so many rules were broken.
+    pub fn of(self, s: &Summary, rules_broken: u64) -> f64 {
         match self {
             Figure::Goodput => s.goodput,
             Figure::WorstTenant => s.worst_tenant,
@@ -99,7 +99,7 @@
             Figure::P999Ms => s.p999_ms,
             Figure::AttemptsAJob => s.attempts_a_job,
             Figure::ProbesAJob => s.probes_a_job,
-            Figure::RulesBroken => run.verdict.broken() as f64,
+            Figure::RulesBroken => rules_broken as f64,
             Figure::Doubled => s.counts.doubled as f64,
             Figure::Wasted => s.counts.wasted_s,
         }
@@ -110,8 +110,12 @@
         matches!(self, Figure::Goodput | Figure::WorstTenant)
     }
 
+    pub fn of_run(self, run: &Run) -> f64 {
+        self.of(&run.summary, run.verdict.broken())
+    }
+
     pub fn over(self, runs: &[Run]) -> Mean {
-        Mean::of(&runs.iter().map(|run| self.of(run)).collect::<Vec<_>>())
+        Mean::of(&runs.iter().map(|run| self.of_run(run)).collect::<Vec<_>>())
     }
 }
 
@@ -127,7 +131,7 @@
 /// interval leaves out nought.
 pub fn compare(figure: Figure, first: &[Run], second: &[Run]) -> (Mean, Judgement) {
     let pairs = first.iter().zip(second).filter(|(a, b)| a.seed == b.seed);
-    let differences: Vec<f64> = pairs.map(|(a, b)| figure.of(b) - figure.of(a)).collect();
+    let differences: Vec<f64> = pairs.map(|(a, b)| figure.of_run(b) - figure.of_run(a)).collect();
     let mean = Mean::of(&differences);
     let decided = mean.half.is_some_and(|half| mean.mean.abs() > half);
     let judgement = match (decided, (mean.mean > 0.0) == figure.more_is_better()) {
--- a/crates/lab/src/stats.rs
+++ b/crates/lab/src/stats.rs
@@ -1,7 +1,7 @@
 //! What a run comes to, from the clients' side: worth, latency, messages, second by second and in all.
 
 use hdrhistogram::Histogram;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 use crate::time::{in_seconds, Nanos, SECOND};
 
@@ -31,7 +31,7 @@
 }
 
 /// Messages and work that are counted beside the requests.
-#[derive(Clone, Copy, Debug, Default, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
 pub struct Counts {
     pub tries: u64,
     pub attempts: u64,
@@ -49,7 +49,7 @@
 }
 
 /// One second of a run.
-#[derive(Clone, Debug, Default, Serialize)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Second {
     pub asked: f64,
     pub good: f64,
@@ -61,7 +61,7 @@
 }
 
 /// The figures of one run.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Summary {
     /// Worth answered in time over worth asked for.
     pub goodput: f64,
