Keep less for each job in flight, and one timer less, in the laboratory

Change: tries stand in boxes, attempts inline, and an attempt that is waited for until its client's deadline shares that deadline's event.

--- a/crates/lab/src/audit.rs
+++ b/crates/lab/src/audit.rs
@@ -7,6 +7,7 @@
 use std::collections::{BTreeSet, VecDeque};
 
 use fnv::FnvHashMap;
+use smallvec::SmallVec;
 
 use crate::record::{Ending, Final, Line, Record, Standing};
 use crate::time::{Nanos, MS};
@@ -124,7 +125,7 @@
     class: u32,
     scheduler: u32,
     deadline: Nanos,
-    attempts: Vec<Attempt>,
+    attempts: SmallVec<[Attempt; 1]>,
     decided: Option<Nanos>,
     answered: bool,
     left: bool,
@@ -204,7 +205,7 @@
                     class,
                     scheduler,
                     deadline,
-                    attempts: Vec::new(),
+                    attempts: SmallVec::new(),
                     decided: None,
                     answered: false,
                     left: false,
--- a/crates/lab/src/policy/frame.rs
+++ b/crates/lab/src/policy/frame.rs
@@ -7,6 +7,7 @@
 use fnv::FnvHashMap;
 use nickelflow::{Effect, Group, Settings};
 use nickelflow_engine::{hash, Answer, Execute, Job, ListKind, Membership, Nanos, Outcome, Report};
+use smallvec::SmallVec;
 
 use super::{Input, Order, Place, Policy, Truth};
 use crate::random::{self, Concern, Random};
@@ -116,7 +117,7 @@
 
 struct Open {
     job: Job,
-    attempts: Vec<Attempt>,
+    attempts: SmallVec<[Attempt; 1]>,
     over: bool,
 }
 
@@ -281,7 +282,7 @@
             }
             Input::Job { id, job } => {
                 self.wakes.push(Reverse((job.deadline.saturating_sub(MARGIN), id)));
-                self.open.insert(id, Open { job, attempts: Vec::new(), over: false });
+                self.open.insert(id, Open { job, attempts: SmallVec::new(), over: false });
                 self.go_on(now, id, truth, orders);
             }
             Input::Gone { id } => {
--- a/crates/lab/src/worker.rs
+++ b/crates/lab/src/worker.rs
@@ -73,7 +73,6 @@
 #[derive(Clone, Debug)]
 struct Running {
     task: Task,
-    began: Nanos,
     /// Its mark on the virtual clock; `None` while its data is fetched.
     ends: Option<f64>,
 }
@@ -276,7 +275,7 @@
             if ready {
                 self.working += task.slots;
             }
-            self.running.push(Running { task, began: now, ends });
+            self.running.push(Running { task, ends });
             effects.push(Effect::Started(task.id));
             if !ready {
                 effects.push(Effect::Fetch(task.id));
@@ -383,11 +382,6 @@
         }
     }
 
-    /// Whether an attempt is running or waiting here, and since when it runs.
-    pub fn began(&self, id: AttemptId) -> Option<Nanos> {
-        self.running.iter().find(|r| r.task.id == id).map(|r| r.began)
-    }
-
     /// The part of a running job that is done.
     pub fn share(&self, id: AttemptId) -> Option<f64> {
         let running = self.running.iter().find(|r| r.task.id == id)?;
--- a/crates/lab/src/world/clients.rs
+++ b/crates/lab/src/world/clients.rs
@@ -1,14 +1,16 @@
 //! Clients and the front: requests come in, are tried, answered, tried again and given up.
 
 use nickelflow_engine::Job;
+use smallvec::SmallVec;
 
 use super::{Ev, Request, State, Try, World};
 use crate::policy::Input;
 use crate::random;
-use crate::record::{Final, Record};
+use crate::record::{Ending, Final, Record};
 use crate::scenario::Repeats;
 use crate::stats::{Fate, Settled};
 use crate::time::{millis, Nanos};
+use crate::worker::AttemptId;
 
 impl World<'_> {
     /// The next request is asked for the first time.
@@ -44,16 +46,16 @@
         let entry = self.tries.vacant_entry();
         self.serial = self.serial.wrapping_add(1);
         let job = u64::from(self.serial) << 32 | entry.key() as u64;
-        entry.insert(Try {
+        entry.insert(Box::new(Try {
             id: job,
             request,
             scheduler: scheduler as u32,
             deadline: request.deadline,
             over: false,
             held: false,
-            attempts: Vec::new(),
+            attempts: SmallVec::new(),
             ran: None,
-        });
+        }));
         self.stats.counts.most_open = self.stats.counts.most_open.max(self.tries.len() as u64);
         let way = self.way();
         self.at(self.now + way, Ev::Enter { job });
@@ -78,7 +80,7 @@
         let Request { number, first, retries, .. } = request;
         let (class, tenant) = (first.class, first.tenant);
         self.note(Record::Asked { job, request: number, class, tenant, scheduler, deadline, retry: retries });
-        self.at(deadline + millis(self.scenario.rules.slack_ms.0), Ev::Deadline { job });
+        self.at(deadline, Ev::Deadline { job });
         if let Some(part) = first.leaves.filter(|_| retries == 0) {
             let after = (deadline.saturating_sub(self.now)) as f64 * part;
             self.at(self.now + after as Nanos, Ev::Leave { job });
@@ -114,8 +116,20 @@
         self.forget(job);
     }
 
-    /// A client's time is over, and whatever may still be on its way comes too late.
+    /// A client's time is over: attempts that were to be waited for until then time out, and the answer is due
+    /// within the slack.
     pub(super) fn deadline(&mut self, job: u64) {
+        let Some(t) = self.get(job) else { return };
+        let attempts = t.attempts.len() as u32;
+        let slack = millis(self.scenario.rules.slack_ms.0);
+        self.at(self.now + slack, Ev::Overdue { job });
+        for attempt in 0..attempts {
+            self.back(AttemptId { job, attempt }, Ending::TimedOut);
+        }
+    }
+
+    /// Whatever may still be on its way comes too late for the client.
+    pub(super) fn overdue(&mut self, job: u64) {
         let Some(t) = self.get_mut(job) else { return };
         let (over, held) = (std::mem::replace(&mut t.over, true), std::mem::replace(&mut t.held, false));
         let (request, scheduler) = (t.request, t.scheduler);
--- a/crates/lab/src/world/mod.rs
+++ b/crates/lab/src/world/mod.rs
@@ -15,6 +15,7 @@
 use fnv::FnvHashMap;
 use nickelflow::Settings;
 use slab::Slab;
+use smallvec::SmallVec;
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::archive::Archive;
@@ -38,6 +39,7 @@
     Enter { job: u64 },
     Leave { job: u64 },
     Deadline { job: u64 },
+    Overdue { job: u64 },
     Heard { job: u64 },
     Wake { scheduler: u32, boot: u32 },
     Until { id: AttemptId },
@@ -99,6 +101,7 @@
             Ev::Kill { scheduler } => two(26, *scheduler, 0),
             Ev::Unfront { scheduler, boot } => two(27, *scheduler, *boot),
             Ev::Second => [28, 0, 0],
+            Ev::Overdue { job } => [29, *job, 0],
         }
     }
 }
@@ -148,7 +151,7 @@
     over: bool,
     /// Its scheduler has it, and has not lost it.
     held: bool,
-    attempts: Vec<Attempt>,
+    attempts: SmallVec<[Attempt; 1]>,
     /// Where it has run to its end, for the count of doubled jobs: the first rack and time.
     ran: Option<(u32, Nanos)>,
 }
@@ -247,7 +250,8 @@
     next: Option<Arrival>,
     requests: u64,
     serial: u32,
-    tries: Slab<Try>,
+    /// In boxes: what a growing slab moves about and leaves empty is then small.
+    tries: Slab<Box<Try>>,
     waiting: Slab<Request>,
     schedulers: Vec<Scheduler>,
     workers: Vec<Worker>,
@@ -434,6 +438,7 @@
             Ev::Enter { job } => self.enter(job),
             Ev::Leave { job } => self.leave(job),
             Ev::Deadline { job } => self.deadline(job),
+            Ev::Overdue { job } => self.overdue(job),
             Ev::Heard { job } => self.heard_gone(job),
             Ev::Wake { scheduler, boot } => self.wake(scheduler, boot),
             Ev::Until { id } => self.back(id, crate::record::Ending::TimedOut),
@@ -502,11 +507,11 @@
     }
 
     fn get(&self, job: u64) -> Option<&Try> {
-        self.tries.get((job & 0xffff_ffff) as usize).filter(|t| t.id == job)
+        self.tries.get((job & 0xffff_ffff) as usize).map(|t| &**t).filter(|t| t.id == job)
     }
 
     fn get_mut(&mut self, job: u64) -> Option<&mut Try> {
-        self.tries.get_mut((job & 0xffff_ffff) as usize).filter(|t| t.id == job)
+        self.tries.get_mut((job & 0xffff_ffff) as usize).map(|t| &mut **t).filter(|t| t.id == job)
     }
 
     /// Drops a try of which nothing can come any more.
--- a/crates/lab/src/world/schedulers.rs
+++ b/crates/lab/src/world/schedulers.rs
@@ -193,7 +193,9 @@
             }
             Err(at) => self.at(at, Ev::Back { id, ending: Ending::NoConnection }),
         }
-        self.at(until, Ev::Until { id });
+        if self.get(job).is_some_and(|t| until < t.deadline) {
+            self.at(until, Ev::Until { id });
+        }
         if let Some(t) = self.get_mut(job) {
             debug_assert_eq!(t.attempts.len(), attempt as usize);
             t.attempts.push(new);
