--- a/crates/lab/src/policy/frame.rs
+++ b/crates/lab/src/policy/frame.rs
@@ -43,8 +43,14 @@
     pub settings: Settings,
     pub random: Random,
     pub seen: Vec<Seen>,
-    /// Those that are ready.
+    /// Those that are ready, all of them and by cell, and how often that has changed.
     pub ready: Vec<u32>,
+    by_cell: FnvHashMap<u32, Vec<u32>>,
+    pub changes: u64,
+    /// Own attempts out, to all.
+    pub out: u32,
+    /// The candidates of the present pick are all that are ready.
+    pub all: bool,
     numbers: FnvHashMap<String, u32>,
 }
 
@@ -55,6 +61,10 @@
             random: random::stream(seed, Concern::Policy, 0),
             seen: Vec::new(),
             ready: Vec::new(),
+            by_cell: FnvHashMap::default(),
+            changes: 0,
+            out: 0,
+            all: false,
             numbers: FnvHashMap::default(),
         }
     }
@@ -87,6 +97,11 @@
             (seen.place, seen.ready, seen.cell) = (instance.address, ready, instance.cell);
         }
         self.ready = (0..self.seen.len() as u32).filter(|n| self.seen[*n as usize].ready).collect();
+        self.by_cell.clear();
+        for n in &self.ready {
+            self.by_cell.entry(self.seen[*n as usize].cell).or_default().push(*n);
+        }
+        self.changes += 1;
         new
     }
 }
@@ -168,23 +183,8 @@
                 Effect::Unsafe => allowed = false,
             }
         }
-        let tried: Vec<u32> = open.attempts.iter().map(|a| a.instance).collect();
-        let picked = if allowed {
-            let mut candidates = std::mem::take(&mut self.facts.ready);
-            let picked = if tried.is_empty() && cell.is_none() {
-                self.choose(now, id, &candidates, truth)
-            } else {
-                let seen = &self.facts.seen;
-                let suits = |n: &&u32| cell.is_none_or(|cell| seen[**n as usize].cell == cell);
-                let fresh: Vec<u32> =
-                    candidates.iter().filter(suits).filter(|n| !tried.contains(n)).copied().collect();
-                self.choose(now, id, &fresh, truth)
-            };
-            std::mem::swap(&mut self.facts.ready, &mut candidates);
-            picked
-        } else {
-            None
-        };
+        let tried: SmallVec<[u32; 4]> = open.attempts.iter().map(|a| a.instance).collect();
+        let picked = if allowed { self.pick_untried(now, id, cell, &tried, truth) } else { None };
         match picked {
             Some(instance) => self.send(now, id, instance, orders),
             None => self.answer(id, orders),
@@ -194,6 +194,38 @@
         }
     }
 
+    /// A worker that the job has not been to, of one cell where it may go on only there.
+    fn pick_untried(
+        &mut self,
+        now: Nanos,
+        id: u64,
+        cell: Option<u32>,
+        tried: &[u32],
+        truth: Truth<'_>,
+    ) -> Option<u32> {
+        let ready = std::mem::take(&mut self.facts.ready);
+        let mut picked = None;
+        if cell.is_none() {
+            self.facts.all = true;
+            // To leave out a few of thousands by building the list without them would cost more than the pick.
+            for _ in 0..3 {
+                picked = self.choose(now, id, &ready, truth);
+                if picked.is_none_or(|n| !tried.contains(&n)) {
+                    break;
+                }
+            }
+            self.facts.all = false;
+        }
+        if cell.is_some() || picked.is_some_and(|n| tried.contains(&n)) {
+            let of = cell.map_or(Some(&ready), |cell| self.facts.by_cell.get(&cell));
+            let fresh = of.into_iter().flatten().filter(|n| !tried.contains(n)).copied();
+            let fresh: Vec<u32> = fresh.collect();
+            picked = self.choose(now, id, &fresh, truth);
+        }
+        self.facts.ready = ready;
+        picked
+    }
+
     fn choose(&mut self, now: Nanos, id: u64, candidates: &[u32], truth: Truth<'_>) -> Option<u32> {
         let job = &self.open.get(&id)?.job;
         if candidates.is_empty() {
@@ -206,6 +238,7 @@
         let Some(open) = self.open.get_mut(&id) else { return };
         let attempt = open.attempts.len() as u32;
         open.attempts.push(Attempt { instance, sent: now, out: true, ran: true });
+        self.facts.out += 1;
         if let Some(seen) = self.facts.seen.get_mut(instance as usize) {
             seen.out += 1;
             seen.since += 1;
@@ -253,6 +286,7 @@
         let Some(a) = open.attempts.get_mut(attempt as usize).filter(|a| a.out) else { return };
         a.out = false;
         a.ran = !outcome.never_ran();
+        self.facts.out = self.facts.out.saturating_sub(1);
         if let Some(seen) = self.facts.seen.get_mut(a.instance as usize) {
             seen.out = seen.out.saturating_sub(1);
         }
--- a/crates/lab/src/policy/mod.rs
+++ b/crates/lab/src/policy/mod.rs
@@ -123,7 +123,7 @@
             Kind::RoundRobin => Box::new(frame::Frame::new(frame(), simple::RoundRobin::default())),
             Kind::LeastOutstanding => Box::new(frame::Frame::new(frame(), simple::LeastOutstanding)),
             Kind::TwoChoices => Box::new(frame::Frame::new(frame(), stale::TwoChoices::default())),
-            Kind::BoundedHashing => Box::new(frame::Frame::new(frame(), hashing::BoundedHashing)),
+            Kind::BoundedHashing => Box::new(frame::Frame::new(frame(), hashing::BoundedHashing::default())),
             Kind::Prequal => Box::new(frame::Frame::new(frame(), prequal::Prequal::default())),
             Kind::Oracle => Box::new(frame::Frame::new(frame(), oracle::Oracle)),
             Kind::Bare { k, tau } => Box::new(bare::Bare::new(settings, seed, k, tau)),
--- a/crates/lab/src/policy/prequal.rs
+++ b/crates/lab/src/policy/prequal.rs
@@ -76,7 +76,7 @@
         }
         self.pool.retain(|a| a.at + OLD > now && facts.seen[a.instance as usize].ready);
         let hot = self.hot_from();
-        let suits = |i: &usize| of.contains(&self.pool[*i].instance);
+        let suits = |i: &usize| facts.all || of.contains(&self.pool[*i].instance);
         let usable: Vec<usize> = (0..self.pool.len()).filter(suits).collect();
         let by = |a: f64, b: f64| a.total_cmp(&b);
         let cold = usable.iter().filter(|i| self.pool[**i].held < hot);
