Index workers and the hold in the module instead of passing over all of them

Need: each pick asked every worker whether it is open, a key's homes sorted all workers, a reopened worker read the whole hold, a full list compared each worker with each entry, and failing workers were recounted. Change: crates/decisions/src/index.rs, which decides nothing: a pool with a pick by position, a ring by hash of names, a hold found by worker. A key's homes are the best of the 32 workers next to it on the ring; among over 64 workers that may be open a few draws come before a look at all. Property tests hold each index against a naive model.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -75,6 +75,7 @@
 //! ```
 #![forbid(unsafe_code)]
 
+pub mod index;
 mod interface;
 mod rules;
 
--- a/crates/decisions/src/rules.rs
+++ b/crates/decisions/src/rules.rs
@@ -12,6 +12,7 @@
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 use std::ops::Bound;
 
+use crate::index::{Hold, Pool, Ring};
 use crate::interface::*;
 
 const MS: Nanos = 1_000_000;
@@ -29,8 +30,12 @@
 const JITTER: f64 = 0.5;
 /// A report may be this old (ns): own sends and ends younger than that are not in it yet.
 const REPORT_AGE: Nanos = 1_000 * MS;
-/// Workers that a key is kept on.
+/// Workers that a key is kept on: the first by a hash of both, of those that stand next to the key on a ring.
 const HOMES: usize = 4;
+const NEIGHBOURS: usize = 32;
+/// Draws of a worker that may be open before all of them are looked at, where there are more than a few.
+const DRAWS: usize = 8;
+const FEW: usize = 64;
 /// Times its even part of the reported slots that a dispatcher takes: not all want them at once.
 const PART: f64 = 2.0;
 /// Longest delay (ns) of the first probe of a new worker, for each dispatcher that does the same.
@@ -146,8 +151,14 @@
     rng: fastrand::Rng,
     now: Nanos,
     workers: Vec<Option<Worker>>,
+    /// Workers that may be open for something, in the own zone and in others; those that are ready, by the
+    /// hash of their names; and those of them that fail.
+    near: Pool,
+    far: Pool,
+    ring: Ring,
+    failing: Pool,
     jobs: BTreeMap<RequestId, Job>,
-    held: BTreeMap<(u8, u64), RequestId>,
+    held: Hold<(u8, u64), RequestId>,
     arrivals: u64,
     /// Slots that a worker must cover to count as open: those of the widest held job. And the memory: what
     /// the hungriest held job takes, or a usual one.
@@ -198,8 +209,12 @@
             rng: fastrand::Rng::with_seed(seed),
             now: 0,
             workers: Vec::new(),
+            near: Pool::default(),
+            far: Pool::default(),
+            ring: Ring::default(),
+            failing: Pool::default(),
             jobs: BTreeMap::new(),
-            held: BTreeMap::new(),
+            held: Hold::default(),
             arrivals: 0,
             need: 1.0,
             need_memory: 0.0,
@@ -299,10 +314,17 @@
             }
             ListKind::Changes => {}
             ListKind::Full | ListKind::Saved => {
-                for worker in self.workers.iter_mut().flatten() {
-                    if !entries.iter().any(|e| e.worker == worker.entry.worker) {
+                let mut listed = vec![false; self.workers.len()];
+                for entry in &entries {
+                    if let Some(listed) = listed.get_mut(entry.worker.0 as usize) {
+                        *listed = true;
+                    }
+                }
+                for index in (0..listed.len()).filter(|index| !listed[*index]) {
+                    if let Some(worker) = &mut self.workers[index] {
                         worker.ready = false;
                     }
+                    self.note(index);
                 }
             }
         }
@@ -322,9 +344,10 @@
         let ready = entry.membership == Membership::Ready;
         if let Some(worker) = &mut self.workers[index] {
             let restarted = entry.started.is_some() && entry.started > worker.entry.started;
+            self.ring.set(mix(worker.entry.address_hash), index, false);
             worker.entry = entry.clone();
             if !restarted && worker.ready == ready {
-                return;
+                return self.note(index);
             }
             worker.ready = ready;
             if !ready {
@@ -344,6 +367,18 @@
                 worker.free = Some(worker.size);
             }
         }
+        self.note(index);
+    }
+
+    /// Brings the indexes up to what a worker is now.
+    fn note(&mut self, index: usize) {
+        let Some(worker) = &self.workers[index] else { return };
+        let may = worker.ready && !worker.shut && worker.free.is_some_and(|free| free + K_KEYED > 0.0);
+        let near = worker.entry.zone == self.settings.zone;
+        self.near.set(index, may && near);
+        self.far.set(index, may && !near);
+        self.ring.set(mix(worker.entry.address_hash), index, worker.ready);
+        self.failing.set(index, worker.ready && worker.failures >= 1.0);
     }
 
     // ---- requests ------------------------------------------------------------------------------------
@@ -447,12 +482,12 @@
     fn hold(&mut self, id: RequestId, rank: u8) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         if let Some(place) = job.place.take() {
-            self.held.remove(&place);
+            self.held.remove(place, &job.homes);
         }
         let place = (rank, job.arrived);
         job.place = Some(place);
         let (patience, slots, memory) = (job.patience, job.request.slots, job.request.memory);
-        self.held.insert(place, id);
+        self.held.insert(place, id, &job.homes);
         if rank != 1 {
             self.at(patience, Due::Patience(id));
         }
@@ -466,8 +501,9 @@
     }
 
     fn unhold(&mut self, id: RequestId) {
-        if let Some(place) = self.jobs.get_mut(&id).and_then(|job| job.place.take()) {
-            self.held.remove(&place);
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        if let Some(place) = job.place.take() {
+            self.held.remove(place, &job.homes);
             if self.held.is_empty() {
                 (self.need, self.need_memory) = (1.0, 0.0);
             }
@@ -576,45 +612,48 @@
         if !self.may_go_on(job) {
             return None;
         }
-        let mut best = Vec::new();
-        let mut best_rank = 0;
-        for index in 0..self.workers.len() {
-            if !self.open(index, job) {
-                continue;
+        if !job.homes.is_empty() {
+            let open = job.homes.iter().copied().filter(|home| self.open(*home, job));
+            let best = open.max_by_key(|home| self.affinity(job.request.key, *home));
+            // Drawn as when all workers were looked at, so that recorded runs go the same way.
+            if best.is_some() {
+                let _ = self.rng.usize(0..1);
             }
-            let rank = self.preference(index, job);
-            if rank > best_rank || best.is_empty() {
-                best.clear();
-                best_rank = rank;
+            return best;
+        }
+        for pool in [&self.near, &self.far] {
+            let members = pool.members();
+            // Of thousands most that may be open are: a few draws find one, as evenly as one among all.
+            let draws = if members.len() > FEW { DRAWS } else { 0 };
+            for _ in 0..draws {
+                let drawn = members[self.rng.usize(0..members.len())];
+                if self.open(drawn, job) {
+                    return Some(drawn);
+                }
             }
-            if rank == best_rank {
-                best.push(index);
+            let mut open: Vec<usize> =
+                members.iter().copied().filter(|index| self.open(*index, job)).collect();
+            if !open.is_empty() {
+                open.sort_unstable();
+                return Some(open[self.rng.usize(0..open.len())]);
             }
         }
-        if best.is_empty() {
-            return None;
-        }
-        Some(best[self.rng.usize(0..best.len())])
+        None
     }
 
     /// Fetching a key costs more than a job: all dispatchers rank the workers for a key alike, by a hash of
-    /// the two, so that a key stays on few workers. Other jobs prefer the own zone.
-    fn preference(&self, index: usize, job: &Job) -> u64 {
-        let Some(worker) = &self.workers[index] else { return 0 };
-        match job.request.key {
-            Some(key) => mix(key ^ mix(worker.entry.address_hash)),
-            None => u64::from(worker.entry.zone == self.settings.zone),
-        }
+    /// the two, so that a key stays on few workers.
+    fn affinity(&self, key: Option<u64>, index: usize) -> u64 {
+        let hash = self.workers[index].as_ref().map_or(0, |worker| worker.entry.address_hash);
+        mix(key.unwrap_or(0) ^ mix(hash))
     }
 
     /// The workers that rank highest for a key.
     fn homes(&self, key: u64) -> Vec<usize> {
-        let ready = self.workers.iter().enumerate().filter_map(|(i, w)| Some((i, w.as_ref()?)));
-        let ready = ready.filter(|(_, w)| w.ready);
-        let mut ranked: Vec<(u64, usize)> =
-            ready.map(|(i, w)| (mix(key ^ mix(w.entry.address_hash)), i)).collect();
-        ranked.sort_unstable_by(|a, b| b.cmp(a));
-        ranked.into_iter().take(HOMES).map(|(_, i)| i).collect()
+        let mut ranked: Vec<usize> = self.ring.from(mix(key)).take(NEIGHBOURS).collect();
+        ranked.sort_unstable_by_key(|index| Reverse((self.affinity(Some(key), *index), *index)));
+        ranked.truncate(HOMES);
+        ranked
     }
 
     fn send(&mut self, id: RequestId, index: usize, actions: &mut Vec<Action>) {
@@ -664,7 +703,7 @@
     fn serve(&mut self, index: usize, actions: &mut Vec<Action>) {
         let mut after = Bound::Unbounded;
         loop {
-            let Some((&place, &id)) = self.held.range((after, Bound::Unbounded)).next() else { return };
+            let Some((place, id)) = self.held.next(index, after) else { return };
             after = Bound::Excluded(place);
             let Some(worker) = &self.workers[index] else { return };
             if worker.shut || worker.free.is_none_or(|free| free + K < 1.0) {
@@ -757,6 +796,7 @@
 
     /// Starts or gives up the timer that leads to a worker's next probe, by whether it is closed.
     fn settle(&mut self, index: usize) {
+        self.note(index);
         let (need, need_memory) = (self.need, self.need_memory.max(self.usual_memory));
         let can_probe = self.settings.can_probe;
         let shared = self.workers[index].as_ref().is_some_and(|w| w.failures > 1.0) && self.many_failing();
@@ -793,10 +833,7 @@
     }
 
     fn many_failing(&self) -> bool {
-        let ready = self.workers.iter().flatten().filter(|w| w.ready);
-        let (all, failing) =
-            ready.fold((0, 0), |(all, bad), w| (all + 1, bad + usize::from(w.failures >= 1.0)));
-        2 * failing > all
+        2 * self.failing.members().len() > self.ring.len()
     }
 
     fn probe(&mut self, index: usize, timer: u32, actions: &mut Vec<Action>) {
