Free the machines of a scenario and the cold rule's pressure from the world in virtual time

The drill's stand-in workers on real sockets are made of the same machines and fall over by the same rule. World::new and World::press held both; they are now nickelflow_lab::fleet. Ruled out: a second copy in the drill, which would drift. Scenario::check is public, for scenarios that come inside another file.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod archive;
 pub mod audit;
 pub mod discovery;
+pub mod fleet;
 pub mod policy;
 pub mod queue;
 pub mod random;
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -508,7 +508,7 @@
     }
 
     /// What no single figure shows.
-    fn check(&self) -> Result<(), String> {
+    pub fn check(&self) -> Result<(), String> {
         let fail = |field: &str, why: &str| Err(format!("{field}: {why}"));
         if self.pools.is_empty() {
             return fail("pools", "there must be one at least");
--- a/crates/lab/src/world/machines.rs
+++ b/crates/lab/src/world/machines.rs
@@ -139,21 +139,15 @@
         let warm = worker.warmth(self.now) >= 1.0;
         let rules = &self.scenario.rules;
         let window = seconds(rules.fall_s.0);
-        let most = rules.fall_multiple.0 * worker.capacity(self.now) * window as f64;
+        let capacity = worker.capacity(self.now);
         let m = &mut self.machines[machine as usize];
         if warm || m.fell {
             m.pressure.clear();
             return;
         }
-        m.pressure.push_back((self.now, work));
-        while m.pressure.front().is_some_and(|(at, _)| at + window < self.now) {
-            m.pressure.pop_front();
-        }
-        let sum: f64 = m.pressure.iter().map(|(_, work)| work).sum();
-        let largest = m.pressure.iter().map(|(_, work)| *work).fold(0.0, f64::max);
-        let pressed = sum / (most + 2.0 * largest);
+        let pressed = m.pressure.add(self.now, work, capacity, rules.fall_multiple.0, window);
         self.stats.counts.pressed = self.stats.counts.pressed.max(pressed);
-        if sum > most + 2.0 * largest {
+        if pressed > 1.0 {
             m.fell = true;
             self.stats.counts.fallen += 1;
             self.note(Record::Fell { worker: machine });
--- a/crates/lab/src/world/mod.rs
+++ b/crates/lab/src/world/mod.rs
@@ -21,6 +21,7 @@
 use crate::archive::Archive;
 use crate::audit::{Auditor, Law, Repeat, Verdict};
 use crate::discovery::{Discovery, Listing};
+use crate::fleet::{self, Pressure};
 use crate::policy::{self, Kind, Order, Policy, Truth};
 use crate::queue::Queue;
 use crate::random::{self, Concern, Random};
@@ -29,7 +30,7 @@
 use crate::stats::{Stats, Summary};
 use crate::time::{millis, seconds, Nanos, MS, SECOND};
 use crate::traffic::{Arrival, Traffic};
-use crate::worker::{AttemptId, Effect, Load, Make, Worker};
+use crate::worker::{AttemptId, Effect, Load, Worker};
 
 /// What is to happen.
 #[derive(Clone, Copy, Debug)]
@@ -203,7 +204,7 @@
     /// Attempts that were out to it when it vanished: they are reset when it is back.
     ghosts: Vec<AttemptId>,
     /// Work that has reached it of late, while it is cold (the world's own budget).
-    pressure: VecDeque<(Nanos, f64)>,
+    pressure: Pressure,
     fell: bool,
 }
 
@@ -286,39 +287,17 @@
         let settings = policy::settings(scenario);
         let mut random = random::stream(seed, Concern::Workers, 0);
         let (mut workers, mut machines) = (Vec::new(), Vec::new());
-        let (mut rack, mut discovery) = (
-            0,
-            Discovery::new(
-                millis(scenario.discovery.call_ms.0),
-                millis(scenario.discovery.lines_ms.0),
-                millis(scenario.discovery.wait_ms.0),
-            ),
+        let mut discovery = Discovery::new(
+            millis(scenario.discovery.call_ms.0),
+            millis(scenario.discovery.lines_ms.0),
+            millis(scenario.discovery.wait_ms.0),
         );
-        for pool in &scenario.pools {
-            for number in 0..pool.count.0 as u32 {
-                if number % (pool.rack.0 as u32) == 0 {
-                    rack += 1;
-                }
-                let make = Make {
-                    cores: pool.cores.0,
-                    slots: pool.slots.0,
-                    memory: pool.memory.map_or(pool.slots.0, |memory| memory.0),
-                    speed: random::between(&mut random, pool.speed.both()),
-                    queue: scenario.workers.queue.0 as usize,
-                    order: scenario.workers.order,
-                    thrash: scenario.workers.thrash.0,
-                    idle_until: scenario.workers.idle_until.0 as usize,
-                    cold_from: scenario.rules.cold_from.0,
-                    cold: seconds(scenario.rules.cold_s.0),
-                    keys_kept: scenario.data.as_ref().map_or(1, |data| data.kept.0 as usize),
-                    cancel_stops: scenario.workers.cancel_stops,
-                };
-                let started = pool.cold.then_some(1);
-                let machine = workers.len() as u32;
-                discovery.begin(Listing { machine, address: machine, standing: Standing::Ready, started });
-                workers.push(Worker::new(make, started));
-                machines.push(Machine::new(machine, rack));
-            }
+        for fleet::Machine { make, rack, cold } in fleet::machines(scenario, &mut random) {
+            let started = cold.then_some(1);
+            let machine = workers.len() as u32;
+            discovery.begin(Listing { machine, address: machine, standing: Standing::Ready, started });
+            workers.push(Worker::new(make, started));
+            machines.push(Machine::new(machine, rack));
         }
         let law = law(scenario, &workers, &machines);
         let data = scenario.data.as_ref();
@@ -543,7 +522,7 @@
             silent: None,
             reports: VecDeque::new(),
             ghosts: Vec::new(),
-            pressure: VecDeque::new(),
+            pressure: Pressure::default(),
             fell: false,
         }
     }
