Add the drill: real schedulers, faults on every link between them, and an auditor

The operators want shown how many processes behave together when parts fail. The laboratory plays the engine in virtual time and cannot show the program itself, and the toy fleet had no faults.

nickelflow-drill starts N schedulers from a binary, with stand-in workers and discovery on the laboratory's models, open-loop clients, and a relay of its own for every ordered pair that speaks. Links are cut (both ways or one, kept bytes delivered late or connections reset, new connections never coming up), delayed, slowed, reset after n bytes or at random, and refuse; schedulers are killed, stopped, told to end, started again under their address, also as an older build; workers crash, vanish, hang and drain; discovery is down or stale. Events stand in a scenario or are drawn by a seeded nemesis that prints them. The auditor reads the record alone; each of its findings has a record that breaks just it. Children are ended by id, also when a test panics.

Ruled out: network namespaces (rights), one proxy a process (cannot cut one pair or one way), accepting and staying silent for connections that must not come up (that is a request that may have run). docs/design/drill.md.

--- /dev/null
+++ b/crates/drill/src/lib.rs
@@ -0,0 +1,22 @@
+//! The drill: several processes of the scheduler on loopback, with stand-ins for workers, discovery and clients,
+//! a link with faults of its own between every two parties that speak, and an auditor that reads what workers
+//! and clients saw and nothing else.
+//!
+//! A [`scenario::Drill`] says what takes part and what goes wrong when; [`run::run`] plays it in real time;
+//! [`audit::audit`] judges the [`record::Entry`]s. Workers, archive, discovery and traffic are the laboratory's
+//! models, driven by the drill's clock. See `docs/operators/drills.md`.
+#![forbid(unsafe_code)]
+
+pub mod audit;
+pub mod clients;
+pub mod discovery;
+pub mod http;
+pub mod links;
+pub mod nemesis;
+pub mod processes;
+pub mod record;
+pub mod run;
+pub mod scenario;
+pub mod settings;
+pub mod timeline;
+pub mod workers;
--- /dev/null
+++ b/crates/drill/src/main.rs
@@ -0,0 +1,189 @@
+//! nickelflow-drill: many schedulers under faults, on the command line.
+#![forbid(unsafe_code)]
+
+use std::io::Write;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use clap::{Args, Parser, Subcommand};
+use nickelflow_drill::nemesis;
+use nickelflow_drill::run::{run, Options, Outcome};
+use nickelflow_drill::scenario::{Drill, Event};
+use nickelflow_lab::scenario::Bounded;
+use serde::Serialize;
+
+/// Plays several processes of the scheduler against stand-ins, with faults between them, and judges the record.
+#[derive(Parser)]
+#[command(
+    version,
+    after_help = "Exit status: 0 all rules kept, 1 a rule broken, 2 wrong usage, 3 could not be played."
+)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Play a scenario with its events.
+    Run {
+        scenario: PathBuf,
+        #[command(flatten)]
+        play: Play,
+    },
+    /// Play a scenario under faults that are drawn from the seed, and print what was drawn.
+    Nemesis {
+        /// What takes part; its own events are left out.
+        #[arg(long, default_value = "lab/drills/nemesis.toml")]
+        scenario: PathBuf,
+        #[arg(long, default_value_t = 1.0, value_parser = minutes)]
+        minutes: f64,
+        /// Seconds from one fault to the next, on average.
+        #[arg(long, default_value_t = 2.0, value_parser = minutes)]
+        gap: f64,
+        /// Only print what would be drawn.
+        #[arg(long)]
+        draw: bool,
+        #[command(flatten)]
+        play: Play,
+    },
+    /// Name the scenarios of a folder.
+    List {
+        #[arg(default_value = "lab/drills")]
+        folder: PathBuf,
+    },
+}
+
+fn minutes(text: &str) -> Result<f64, String> {
+    let figure = text.parse::<f64>().ok().filter(|x| (0.05..=600.0).contains(x));
+    figure.ok_or_else(|| "must be from 0.05 to 600".to_owned())
+}
+
+#[derive(Args)]
+struct Play {
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// The scheduler to start.
+    #[arg(long, default_value = "target/release/nickelflow")]
+    binary: PathBuf,
+    /// An older build, for restarts that ask for it.
+    #[arg(long)]
+    older: Option<PathBuf>,
+    /// Write the record, one JSON object a line.
+    #[arg(long)]
+    json: Option<PathBuf>,
+    /// Write one HTML page with plots.
+    #[arg(long)]
+    html: Option<PathBuf>,
+    /// Keep the schedulers' files and logs in this folder.
+    #[arg(long)]
+    logs: Option<PathBuf>,
+}
+
+/// What could not be done.
+type Failed = String;
+
+fn main() -> ExitCode {
+    let cli = Cli::parse();
+    let done = match cli.command {
+        Command::Run { scenario, play } => Drill::load(&scenario).and_then(|drill| play.play(&drill)),
+        Command::Nemesis { scenario, minutes, gap, draw, play } => {
+            Drill::load(&scenario).and_then(|mut drill| {
+                drill.world.duration_s = Bounded(minutes * 60.0);
+                drill.events = nemesis::draw(&drill, play.seed, gap);
+                print_events(&drill.events)?;
+                if draw {
+                    Ok(true)
+                } else {
+                    play.play(&drill)
+                }
+            })
+        }
+        Command::List { folder } => list(&folder).map(|()| true),
+    };
+    match done {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(1),
+        Err(why) => {
+            eprintln!("nickelflow-drill: {why}");
+            ExitCode::from(3)
+        }
+    }
+}
+
+fn print_events(events: &[Event]) -> Result<(), Failed> {
+    #[derive(Serialize)]
+    struct Events<'a> {
+        events: &'a [Event],
+    }
+    println!("{}", toml::to_string(&Events { events }).map_err(|e| e.to_string())?);
+    Ok(())
+}
+
+fn list(folder: &Path) -> Result<(), Failed> {
+    let entries = std::fs::read_dir(folder).map_err(|e| format!("{}: {e}", folder.display()))?;
+    let mut files: Vec<PathBuf> = entries.flatten().map(|entry| entry.path()).collect();
+    files.retain(|file| file.extension().is_some_and(|e| e == "toml"));
+    files.sort();
+    for file in files {
+        let drill = Drill::load(&file)?;
+        println!("{:<40} {}", file.display(), drill.world.about);
+    }
+    Ok(())
+}
+
+impl Play {
+    /// Plays, prints and writes; tells whether all rules were kept.
+    fn play(&self, drill: &Drill) -> Result<bool, Failed> {
+        let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
+        let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
+        let options = Options {
+            binary: self.binary.clone(),
+            older: self.older.clone(),
+            seed: self.seed,
+            keep: self.logs.clone(),
+        };
+        let outcome = runtime.block_on(run(drill, &options))?;
+        self.write(drill, &outcome)?;
+        let summary = &outcome.summary;
+        println!(
+            "{}: {} requests, goodput {:.3}; in time {}, late {}, refused {}, failed {}; p50 {:.0} ms, p99 {:.0} ms",
+            drill.world.name,
+            summary.requests,
+            summary.goodput,
+            summary.in_time,
+            summary.late,
+            summary.refused,
+            summary.failed,
+            summary.p50_ms,
+            summary.p99_ms,
+        );
+        for span in outcome.spans() {
+            println!("  {:>6.2} to {:>6.2} s  {}", span.from_s, span.to_s, span.name);
+        }
+        for finding in &outcome.findings {
+            println!("BROKEN {finding}");
+        }
+        if outcome.findings.is_empty() {
+            println!("all rules kept");
+        }
+        Ok(outcome.findings.is_empty())
+    }
+
+    fn write(&self, drill: &Drill, outcome: &Outcome) -> Result<(), Failed> {
+        if let Some(path) = &self.json {
+            let failed = |e: std::io::Error| format!("{}: {e}", path.display());
+            let mut file = std::io::BufWriter::new(std::fs::File::create(path).map_err(failed)?);
+            for entry in &outcome.entries {
+                let line = serde_json::to_string(entry).map_err(|e| e.to_string())?;
+                writeln!(file, "{line}").map_err(failed)?;
+            }
+            file.flush().map_err(failed)?;
+        }
+        if let Some(path) = &self.html {
+            let page = nickelflow_lab::report::html(&outcome.document(drill, self.seed))?;
+            std::fs::write(path, page).map_err(|e| format!("{}: {e}", path.display()))?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/drill/src/nemesis.rs
@@ -0,0 +1,71 @@
+//! The nemesis: draws faults from a seed, within stated bounds, as events that a scenario could hold. What it drew is
+//! printed and can be played again.
+//!
+//! Bounds: one fault begins every `gap` on average and lasts 0.5 to 5 s; never are more than a third of the
+//! schedulers killed or stopped by one event; workers are taken by the rack.
+
+use nickelflow_lab::random::{self, Concern, Random};
+use nickelflow_lab::scenario::Bounded;
+
+use crate::scenario::{Drill, Event, Parties, Then, Way, What};
+
+/// The shortest and the longest fault (s).
+const LENGTH: (f64, f64) = (0.5, 5.0);
+/// From the begin and to the end of traffic nothing goes wrong for so long (s): to be well first, and to show that
+/// all recovers.
+const CALM: f64 = 2.0;
+
+/// Draws events for a drill, one every `gap` seconds on average.
+pub fn draw(drill: &Drill, seed: u64, gap: f64) -> Vec<Event> {
+    let mut random = random::stream(seed, Concern::Faults, 0);
+    let end = drill.world.duration_s.0 - CALM;
+    let mut events = Vec::new();
+    let mut at = CALM;
+    loop {
+        at += random::exponential(&mut random) * gap.max(0.05);
+        let length = random::between(&mut random, LENGTH);
+        if at + length > end {
+            return events;
+        }
+        let round = |s: f64| Bounded((s * 1e3).round() / 1e3);
+        events.push(Event { at_s: round(at), for_s: round(length), what: what(drill, &mut random) });
+    }
+}
+
+fn below(random: &mut Random, most: u32) -> u32 {
+    ((random::unit(random) * f64::from(most)) as u32).min(most.saturating_sub(1))
+}
+
+fn what(drill: &Drill, random: &mut Random) -> What {
+    let schedulers = drill.schedulers();
+    let racks: u32 = drill.world.pools.iter().map(|p| (p.count.0 / p.rack.0).ceil() as u32).sum();
+    let one = Parties::Scheduler(below(random, schedulers));
+    let rack = Parties::Rack(1 + below(random, racks.max(1)));
+    let few = 1 + below(random, (schedulers / 3).max(1));
+    let first = below(random, schedulers);
+    let some: Vec<u32> = (0..few).map(|n| (first + n) % schedulers).collect();
+    let way = [Way::Requests, Way::Answers, Way::Both][below(random, 3) as usize];
+    let then = [Then::Deliver, Then::Reset][below(random, 2) as usize];
+    let from = [one, Parties::Schedulers][below(random, 2) as usize];
+    match below(random, 12) {
+        0 => What::Kill { schedulers: some },
+        1 => What::Stop { schedulers: some },
+        2 => What::Restart { schedulers: some, older: false },
+        3 => What::Cut { from: one, to: rack, way, then },
+        4 => What::Cut { from: one, to: Parties::Discovery, way, then },
+        5 => {
+            let (by_ms, jitter_ms) = (Bounded(random::between(random, (5.0, 300.0)).round()), Bounded(50.0));
+            What::Delay { from, to: rack, by_ms, jitter_ms }
+        }
+        6 => What::Slow { from, to: rack, bytes_per_s: 2_000 + below(random, 20_000) },
+        7 => What::ResetAfter { from, to: rack, bytes: 200 + below(random, 5_000) },
+        8 => What::ResetAtRandom { from, to: rack, part: Bounded(0.02) },
+        9 => What::Refuse { from, to: rack },
+        10 => [What::Crash { workers: rack }, What::Vanish { workers: rack }, What::Hang { workers: rack }]
+            [below(random, 3) as usize]
+            .clone(),
+        _ => [What::Drain { workers: rack }, What::DiscoveryDown, What::DiscoveryStale]
+            [below(random, 3) as usize]
+            .clone(),
+    }
+}
--- /dev/null
+++ b/crates/drill/src/run.rs
@@ -0,0 +1,196 @@
+//! One drill from its begin to its end: everything is started, traffic and events are played side by side, all is
+//! ended, and the record is judged.
+
+use std::collections::HashMap;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::Duration;
+
+use nickelflow_lab::report::{Document, Entry as Played, Lot, Span};
+use nickelflow_lab::scenario::Repeats;
+use nickelflow_lab::stats::Summary;
+use nickelflow_lab::time::{in_seconds, millis, seconds, MS};
+use tokio::sync::Mutex;
+
+use crate::audit::{audit, Finding, Law, Repeat};
+use crate::clients::{self, Front};
+use crate::discovery::Discovery;
+use crate::links::Link;
+use crate::processes::Process;
+use crate::record::{Entry, Party, Record, Scribe};
+use crate::scenario::Drill;
+use crate::timeline::{self, Stage};
+use crate::{settings, workers};
+
+/// How often it is looked whether a scheduler has ended by itself.
+const LOOK: Duration = Duration::from_millis(100);
+/// What the platform adds to each limit of time on sockets.
+const SLACK: u64 = 50 * MS;
+/// How long after a fault of its link or process a request may still suffer from it: a connection that was not up
+/// is tried again by TCP after a second, and then two.
+const SETTLE: u64 = 4_000 * MS;
+
+/// How a drill is played.
+#[derive(Clone, Debug)]
+pub struct Options {
+    pub binary: PathBuf,
+    /// An older build, for restarts that ask for it.
+    pub older: Option<PathBuf>,
+    pub seed: u64,
+    /// Keeps the schedulers' files and logs; else they go when the drill ends.
+    pub keep: Option<PathBuf>,
+}
+
+/// What a drill came to.
+pub struct Outcome {
+    pub entries: Vec<Entry>,
+    pub findings: Vec<Finding>,
+    pub summary: Summary,
+    /// When traffic began.
+    pub begin: u64,
+}
+
+/// Plays a drill. The error is that of one that could not be played as it should, which is no finding.
+pub async fn run(drill: &Drill, options: &Options) -> Result<Outcome, String> {
+    let temporary = tempfile::tempdir().map_err(|e| format!("a folder for the schedulers: {e}"))?;
+    let folder: &Path = options.keep.as_deref().unwrap_or(temporary.path());
+    std::fs::create_dir_all(folder).map_err(|e| format!("{}: {e}", folder.display()))?;
+    let scribe = Scribe::default();
+    let io = |what: &'static str| move |e: std::io::Error| format!("{what}: {e}");
+    let zones = drill.zones.0 as u32;
+    let workers =
+        workers::start(&drill.world, zones, options.seed, scribe.clone()).await.map_err(io("workers"))?;
+    let (mut links, mut named) = (Vec::new(), HashMap::new());
+    for scheduler in 0..drill.schedulers() {
+        for worker in &workers {
+            let (from, to) = (Party::Scheduler(scheduler), Party::Worker(worker.number));
+            let link = Link::new(from, to, worker.address, options.seed).await.map_err(io("a link"))?;
+            named.insert((scheduler, worker.number), link.address);
+            links.push(Arc::new(link));
+        }
+    }
+    let discovery =
+        Discovery::start(&drill.world, scribe.clone(), workers.clone(), named).map_err(io("discovery"))?;
+    let (mut processes, mut fronts) = (Vec::new(), Vec::new());
+    for scheduler in 0..drill.schedulers() {
+        let older = options.older.as_deref();
+        let process = Process::new(scheduler, &options.binary, older, folder, scribe.clone());
+        let process = process.map_err(io("a scheduler's address"))?;
+        let (from, to) = (Party::Scheduler(scheduler), Party::Discovery);
+        let news = Link::new(from, to, discovery.address, options.seed).await.map_err(io("a link"))?;
+        let seed = options.seed.wrapping_mul(1_000).wrapping_add(u64::from(scheduler));
+        let config = settings::of(drill, scheduler, process.address, news.address, seed);
+        process.configure(&config).map_err(io("a scheduler's file"))?;
+        let front = Link::new(Party::Clients, to_scheduler(scheduler), process.address, options.seed).await;
+        let front = front.map_err(io("a link"))?;
+        fronts.push(front.address);
+        links.extend([Arc::new(news), Arc::new(front)]);
+        processes.push(Arc::new(Mutex::new(process)));
+    }
+    let front = Front::new(fronts);
+    for process in &processes {
+        let mut process = process.lock().await;
+        process.start(false).await?;
+        front.admit(process.number, true);
+    }
+    let front_notices = Duration::from_secs_f64(drill.world.clients.front_notices_s.0);
+    let stage = Arc::new(Stage {
+        scribe: scribe.clone(),
+        processes: processes.clone(),
+        workers: workers.clone(),
+        links,
+        discovery,
+        front: front.clone(),
+        front_notices,
+    });
+    let watched = processes.clone();
+    let looking = tokio::spawn(async move {
+        loop {
+            tokio::time::sleep(LOOK).await;
+            for process in &watched {
+                // One that is held is being ended or started.
+                if let Ok(mut process) = process.try_lock() {
+                    process.look();
+                }
+            }
+        }
+    });
+    let begin = scribe.now();
+    let mut events = tokio::task::JoinSet::new();
+    for (number, event) in drill.events.iter().enumerate() {
+        events.spawn(timeline::play(stage.clone(), number as u32, event.clone(), begin));
+    }
+    let stats = clients::play(&drill.world, options.seed, scribe.clone(), front).await?;
+    while let Some(done) = events.join_next().await {
+        done.map_err(|e| format!("an event: {e}"))??;
+    }
+    looking.abort();
+    let mut endings = tokio::task::JoinSet::new();
+    for process in processes {
+        endings.spawn(async move {
+            let mut process = process.lock().await;
+            process.look();
+            process.tell_to_end();
+            process.ended().await
+        });
+    }
+    while let Some(done) = endings.join_next().await {
+        done.map_err(|e| format!("an end: {e}"))??;
+    }
+    let entries = scribe.entries();
+    let racks = workers.iter().map(|worker| worker.rack).collect();
+    let findings = audit(&law(drill, racks), &entries);
+    Ok(Outcome { findings, summary: stats.close(), entries, begin })
+}
+
+fn to_scheduler(number: u32) -> Party {
+    Party::Scheduler(number)
+}
+
+/// The rules' figures, with the platform's slack.
+fn law(drill: &Drill, racks: Vec<u32>) -> Law {
+    let rules = &drill.world.rules;
+    let class = |class: &nickelflow_lab::scenario::Class| match class.repeats {
+        Repeats::Harmless => Repeat::Any,
+        Repeats::Rack => Repeat::Rack(seconds(class.window_s.0) + SLACK),
+        Repeats::Never => Repeat::Never,
+    };
+    Law {
+        classes: drill.world.classes.iter().map(class).collect(),
+        racks,
+        slack: millis(rules.slack_ms.0) + SLACK,
+        drain: millis(rules.drain_ms.0) + SLACK,
+        settle: SETTLE,
+    }
+}
+
+impl Outcome {
+    /// The spans of the drill's faults, from the begin of traffic on.
+    pub fn spans(&self) -> Vec<Span> {
+        let mut spans: HashMap<u32, Span> = HashMap::new();
+        for Entry { at, what } in &self.entries {
+            let Record::Fault { number, name, .. } = what else { continue };
+            let at = in_seconds(at.saturating_sub(self.begin));
+            let span = spans.entry(*number).or_insert(Span { name: name.clone(), from_s: at, to_s: at });
+            span.to_s = at;
+        }
+        let mut spans: Vec<(u32, Span)> = spans.into_iter().collect();
+        spans.sort_by_key(|(number, _)| *number);
+        spans.into_iter().map(|(_, span)| span).collect()
+    }
+
+    /// The laboratory's document, for its page.
+    pub fn document(&self, drill: &Drill, seed: u64) -> Document {
+        let mut document = Document::new(&drill.world);
+        document.faults = self.spans();
+        let entry = Played {
+            seed,
+            digest: "real time".to_owned(),
+            rules_broken: self.findings.len() as u64,
+            findings: self.findings.iter().map(ToString::to_string).collect(),
+            summary: self.summary.clone(),
+        };
+        document.lots.push(Lot { label: "drill".to_owned(), runs: vec![entry] });
+        document
+    }
+}
--- /dev/null
+++ b/crates/drill/src/settings.rs
@@ -0,0 +1,61 @@
+//! The file that a scheduler is started with, made from a drill's world.
+
+use std::net::SocketAddr;
+
+use nickelflow_lab::policy;
+use nickelflow_lab::scenario::Repeats;
+use serde_json::{json, Value};
+
+use crate::scenario::{zone_name, Drill};
+
+/// Descriptors and memory of one scheduler.
+const SOCKETS: u32 = 1024;
+
+/// What one scheduler is told.
+pub fn of(drill: &Drill, scheduler: u32, listen: SocketAddr, discovery: SocketAddr, seed: u64) -> Value {
+    let world = &drill.world;
+    let settings = policy::settings(world);
+    let classes: Vec<Value> = (settings.classes.iter().zip(&world.classes))
+        .map(|(class, told)| {
+            let (effect, group) = match told.repeats {
+                Repeats::Harmless => ("pure", "all"),
+                Repeats::Rack => ("token", "cell"),
+                Repeats::Never => ("side_effect", "all"),
+            };
+            json!({"name": told.name, "effect": effect, "group": group, "window_ns": class.window,
+                "on_time_ns": class.aim, "deadline_ns": class.deadline, "importance": class.worth,
+                "late_value": class.late_worth})
+        })
+        .collect();
+    let customers: Vec<Value> = (settings.tenants.iter().zip(&world.tenants))
+        .map(|(tenant, told)| json!({"name": told.name, "quota_per_s": tenant.quota_per_s}))
+        .collect();
+    let zones: Vec<String> = (0..drill.zones.0 as u32).map(zone_name).collect();
+    let stretch: Vec<f64> = settings.classes.iter().map(|class| class.stretch).collect();
+    let contract = &settings.contract;
+    json!({
+        "name": format!("n{scheduler}"),
+        "listen": listen.to_string(),
+        "discovery": discovery.to_string(),
+        "seed": format!("{seed:016x}"),
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": SOCKETS},
+        "known": {"index": 0, "snapshot": true, "endpoints": []},
+        "settings": {
+            "az": scheduler % drill.zones.0 as u32, "zones": zones, "kinds": ["stand-in"],
+            "balancers": settings.dispatchers, "resolution_ns": settings.resolution,
+            "membership_mode": "on_request", "weights": "nominal",
+            "caps": {"cancel": settings.can_cancel, "probing": settings.can_probe,
+                "parallel_tries": settings.parallel_tries, "most_tries": settings.max_attempts,
+                "conn_idle_ns": (world.network.idle_s.0 * 1e9) as u64,
+                "connect_timeout_ns": (world.network.connect_timeout_ms.0 * 1e6) as u64,
+                "max_retry_after_ns": settings.max_retry_after},
+            "classes": classes, "customers": customers,
+            "contract": {"cold_from": contract.cold_from, "cold_ns": contract.cold,
+                "fall_multiple": contract.fall_multiple, "fall_ns": contract.fall,
+                "must_ask_in_ns": contract.must_ask},
+            "load_report": {"fields": ["busy", "q", "x0", "x1"], "how": "pull"},
+            "specifics": {"class_kind": vec![-1; stretch.len()], "class_stretch": stretch,
+                "tells_start": settings.tells_start, "progress_ns": settings.progress},
+        },
+    })
+}
--- /dev/null
+++ b/crates/drill/tests/processes.rs
@@ -0,0 +1,84 @@
+//! Drills with real processes: the scheduler as it is built keeps the rules through every kind of fault, and no process
+//! outlives its drill.
+
+use std::path::{Path, PathBuf};
+use std::process::Command;
+
+use nickelflow_drill::processes::Process;
+use nickelflow_drill::record::{Life, Party, Record, Scribe};
+use nickelflow_drill::run::{run, Options, Outcome};
+use nickelflow_drill::scenario::Drill;
+use rstest::rstest;
+
+/// The scheduler that the workspace's tests have built, beside the tests; else the release build.
+fn binary() -> PathBuf {
+    let own = std::env::current_exe().expect("this test's own path");
+    let beside = own.parent().and_then(Path::parent).map(|folder| folder.join("nickelflow"));
+    let release = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../target/release/nickelflow");
+    let found = beside.into_iter().chain([release]).find(|path| path.exists());
+    found.expect("the scheduler is built: cargo build --release, or cargo test --workspace")
+}
+
+fn play(name: &str) -> (Drill, Outcome) {
+    let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../lab/drills").join(name);
+    let drill = Drill::load(&file).expect("a sound drill");
+    let options = Options { binary: binary(), older: None, seed: 1, keep: None };
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime");
+    let outcome = runtime.block_on(run(&drill, &options)).expect("it can be played");
+    (drill, outcome)
+}
+
+#[rstest]
+#[case::calm("calm.toml", 0.9)]
+#[case::links("links.toml", 0.4)]
+fn rules_are_kept_by_real_processes(#[case] name: &str, #[case] least: f64) {
+    let (drill, outcome) = play(name);
+    let findings: Vec<String> = outcome.findings.iter().map(ToString::to_string).collect();
+    assert!(findings.is_empty(), "{findings:#?}");
+    assert!(outcome.summary.goodput > least, "goodput {}", outcome.summary.goodput);
+    // All that the timeline holds has happened, and all links are well again.
+    let count = |wanted: bool| {
+        let matching = |what: &Record| matches!(what, Record::Fault { begins, .. } if *begins == wanted);
+        outcome.entries.iter().filter(|entry| matching(&entry.what)).count()
+    };
+    assert_eq!((count(true), count(false)), (drill.events.len(), drill.events.len()));
+    let mut wrong: Vec<(Party, Party)> = Vec::new();
+    for entry in &outcome.entries {
+        if let Record::Link { from, to, fault } = &entry.what {
+            wrong.retain(|link| *link != (*from, *to));
+            wrong.extend(fault.is_some().then_some((*from, *to)));
+        }
+    }
+    assert!(wrong.is_empty(), "{wrong:?}");
+    let ended = |what: &Record| matches!(what, Record::Process { life: Life::Ended(Some(0)), .. });
+    let ended = outcome.entries.iter().filter(|entry| ended(&entry.what)).count();
+    assert!(ended >= drill.schedulers() as usize, "only {ended} ended in order");
+}
+
+#[test]
+fn a_process_is_ended_also_when_its_drill_panics() {
+    let folder = tempfile::tempdir().expect("a folder");
+    // Stopped, it could not end by itself either.
+    let script = folder.path().join("stands");
+    std::fs::write(&script, "#!/bin/sh\nkill -STOP $$\n").expect("a script");
+    let executable = Command::new("chmod").arg("+x").arg(&script).status().expect("chmod runs");
+    assert!(executable.success());
+    let (sender, pid) = std::sync::mpsc::channel();
+    let path = folder.path().to_owned();
+    let drill = std::thread::spawn(move || {
+        let runtime = tokio::runtime::Runtime::new().expect("a runtime");
+        runtime.block_on(async {
+            let mut process = Process::new(0, &script, None, &path, Scribe::default()).expect("an address");
+            process.configure(&serde_json::json!({})).expect("a file");
+            let started =
+                tokio::time::timeout(std::time::Duration::from_millis(200), process.start(false)).await;
+            assert!(started.is_err(), "it serves or has ended");
+            sender.send(process.id().expect("it runs")).expect("to tell");
+            panic!("as a test does");
+        });
+    });
+    let pid = pid.recv().expect("its id");
+    assert!(drill.join().is_err());
+    let gone = !Path::new(&format!("/proc/{pid}")).exists();
+    assert!(gone, "process {pid} is left");
+}
