--- a/crates/drill/src/main.rs
+++ b/crates/drill/src/main.rs
@@ -11,6 +11,7 @@
 use nickelflow_drill::scenario::{Drill, Event};
 use nickelflow_lab::scenario::Bounded;
 use serde::Serialize;
+use tokio::signal::unix::{signal, SignalKind};
 
 /// Plays several processes of the scheduler against stand-ins, with faults between them, and judges the record.
 #[derive(Parser)]
@@ -143,7 +144,17 @@
             seed: self.seed,
             keep: self.logs.clone(),
         };
-        let outcome = runtime.block_on(run(drill, &options))?;
+        // Told to end, the drill drops what it plays, and with it ends its processes.
+        let outcome = runtime.block_on(async {
+            let told = |kind| signal(kind).map_err(|e| format!("signals: {e}"));
+            let (mut term, mut hangup) = (told(SignalKind::terminate())?, told(SignalKind::hangup())?);
+            tokio::select! {
+                outcome = run(drill, &options) => outcome,
+                _ = tokio::signal::ctrl_c() => Err("interrupted".to_owned()),
+                _ = term.recv() => Err("told to end".to_owned()),
+                _ = hangup.recv() => Err("its terminal has gone".to_owned()),
+            }
+        })?;
         self.write(drill, &outcome)?;
         let summary = &outcome.summary;
         println!(
