--- a/crates/drill/src/clients.rs
+++ b/crates/drill/src/clients.rs
@@ -21,7 +21,7 @@
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
-use crate::record::{Record, Scribe};
+use crate::record::{lock, Record, Scribe};
 use crate::workers::Work;
 
 /// Requests that are open at once, at most: what comes beyond is not asked and counts as failed.
@@ -73,10 +73,6 @@
     stats: Mutex<Stats>,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// Plays a scenario's traffic from now on, until the last request is settled.
 pub async fn play(
     scenario: &Scenario,
--- a/crates/drill/src/record.rs
+++ b/crates/drill/src/record.rs
@@ -1,12 +1,17 @@
 //! The record: what workers, discovery and clients saw, and what was done to processes and links, in the order of
 //! one monotonic clock. As JSON, one object a line; times in nanoseconds since the drill's begin.
 
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use nickelflow_lab::time::Nanos;
 use serde::{Deserialize, Serialize};
 
+/// Locks what no holder leaves half done: a panic of one is no reason for the others to stop.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// One who speaks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -172,13 +177,13 @@
 
     /// Notes what has just happened. The time is taken under the lock, so that entries stand in its order.
     pub fn note(&self, what: Record) {
-        let mut entries = self.entries.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut entries = lock(&self.entries);
         let at = self.now();
         entries.push(Entry { at, what });
     }
 
     /// All that has been noted so far.
     pub fn entries(&self) -> Vec<Entry> {
-        self.entries.lock().unwrap_or_else(PoisonError::into_inner).clone()
+        lock(&self.entries).clone()
     }
 }
--- a/crates/drill/src/workers.rs
+++ b/crates/drill/src/workers.rs
@@ -4,7 +4,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 
 use bytes::Bytes;
 use hyper::body::Incoming;
@@ -25,7 +25,7 @@
 
 use crate::http::{self, Body};
 use crate::links::{self, bound, listen};
-use crate::record::{Record, Scribe};
+use crate::record::{lock, Record, Scribe};
 
 /// What a request of the drill's clients says in its body about the work that it stands for.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
@@ -87,10 +87,6 @@
     all: std::sync::OnceLock<Vec<Arc<Worker>>>,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// Starts the workers of a scenario, dealing its racks to so many zones in turn.
 pub async fn start(
     scenario: &Scenario,
