Make connections to instances by way of a socket of their own

On loopback the same binary served all. Without link-time optimisation the same code served; with it, and TcpSocket::new_v4 and connect in the place of TcpStream::connect, it serves again.

--- a/crates/daemon/src/connection.rs
+++ b/crates/daemon/src/connection.rs
@@ -16,7 +16,7 @@
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::AbortHandle;
 
 pub struct Connection {
@@ -48,7 +48,9 @@
 impl Connection {
     pub async fn open(address: SocketAddr, limit: Duration) -> Result<Connection, String> {
         let open = async {
-            let stream = TcpStream::connect(address).await.map_err(|e| e.to_string())?;
+            let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() };
+            let socket = socket.map_err(|e| format!("socket: {e}"))?;
+            let stream = socket.connect(address).await.map_err(|e| format!("connect: {e}"))?;
             stream.set_nodelay(true).map_err(|e| e.to_string())?;
             let written = Arc::<AtomicU64>::default();
             let io = TokioIo::new(Counted { stream, written: written.clone() });
