Tell the module of rules that all dispatchers agree on, as a new event

Need: limits, workers set apart and a lease on both must bind at each pick, also of a process that stood still.

--- a/crates/decisions/src/interface.rs
+++ b/crates/decisions/src/interface.rs
@@ -2,6 +2,9 @@
 //!
 //! All times are nanoseconds of the caller's clock, which may start anywhere and never runs backwards.
 
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
 /// A moment of the caller's clock, or a length of time, in nanoseconds.
 pub type Nanos = u64;
 
@@ -236,10 +239,58 @@
     Ending {
         by: Nanos,
     },
+    /// Rules that all dispatchers agree on, to be acted on in full until then, and afterwards only carefully. Told again
+    /// with the same rules, they hold for longer.
+    Rules {
+        rules: Arc<Rules>,
+        until: Nanos,
+    },
     /// A moment asked for with `Wake` has come.
     Wake,
 }
 
+/// Rules on which dispatchers agree. Workers are named by `address_hash`, tenants by their index in the settings.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Rules {
+    /// Into how many even parts limits, and what a cold worker bears, are divided. Takes the place of the settings'
+    /// `dispatchers`.
+    pub parts: u32,
+    /// Attempts that a request may have at most, beside what the settings allow.
+    pub attempts: u32,
+    /// Shortest and longest Retry-After.
+    pub retry_after: (Nanos, Nanos),
+    /// Requests a second that all dispatchers together take of a tenant.
+    pub limits: BTreeMap<u32, f64>,
+    /// Workers that are not open to all, and tenants that go only to those that are theirs.
+    pub workers: BTreeMap<u64, RuledUse>,
+    pub owners: BTreeSet<u32>,
+    pub careful: CarefulRules,
+}
+
+/// What a dispatcher may do that cannot know whether its rules still hold.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CarefulRules {
+    /// Of its part of each limit.
+    pub share: f64,
+    pub workers: BTreeSet<u64>,
+    /// Also workers that are not named at all, and tenants without a limit.
+    pub others: bool,
+    pub unlimited: bool,
+}
+
+/// Whom a worker may be sent new work of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RuledUse {
+    /// Nobody's.
+    Cordoned,
+    /// Nobody's, and what has not started is called back.
+    Drained,
+    /// The same, and it is not even probed.
+    Never,
+    /// Only this tenant's.
+    Only(u32),
+}
+
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
     /// Start an attempt; a request's attempts are numbered 0, 1, 2 ... `timeout` 0 is the client's deadline.
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -83,6 +83,7 @@
 mod meters;
 mod rules;
 mod state;
+mod told;
 
 pub use interface::*;
 pub use rules::Dispatcher;
--- a/crates/decisions/src/rules.rs
+++ b/crates/decisions/src/rules.rs
@@ -10,12 +10,14 @@
 
 use std::collections::BTreeMap;
 use std::ops::Bound;
+use std::sync::Arc;
 
 use crate::index::{mix, Agenda, Counts, Hold, Pool, Ring};
 use crate::interface::*;
 use crate::load::{Load, Part};
 use crate::meters::{Demand, Savings, Shares};
 use crate::state::{Attempt, ClassView, Due, End, Job, Worker};
+use crate::told::Told;
 
 const MS: Nanos = 1_000_000;
 const SECOND: f64 = 1e9;
@@ -124,6 +126,8 @@
     sizes: BTreeMap<u32, f64>,
     /// Probes that jobs have paid for.
     probes: f64,
+    /// What all dispatchers have agreed on.
+    told: Told,
     /// When all must be answered, for this dispatcher ends.
     ending: Nanos,
 }
@@ -157,6 +161,7 @@
             keys: Counts::new(KEYS_SEEN),
             mean: 1.0,
             probes: PROBES_A_JOB,
+            told: Told::default(),
             ending: Nanos::MAX,
             settings,
         })
@@ -189,6 +194,7 @@
                     self.agenda.put(self.ending, Due::Deadline(*id));
                 }
             }
+            Event::Rules { rules, until } => self.rules(rules, until, actions),
             // A wake may come a little early, where the caller's clock is coarser: ask again for the next.
             Event::Wake => self.agenda.woken(self.now + self.settings.resolution),
         }
@@ -311,6 +317,29 @@
         self.failing.set(index, worker.ready && worker.failures >= 1.0);
     }
 
+    // ---- rules that all agree on ---------------------------------------------------------------------
+
+    fn rules(&mut self, rules: Arc<Rules>, until: Nanos, actions: &mut Vec<Action>) {
+        let parts = rules.parts;
+        if !self.told.tell(rules, until, self.now) {
+            return;
+        }
+        self.settings.dispatchers = parts.max(1);
+        let tells = self.settings.can_cancel && self.settings.tells_start;
+        for (id, job) in self.jobs.iter().filter(|_| tells) {
+            let drained = |a: &Attempt| {
+                let hash = self.workers[a.worker].as_ref().map(|w| w.entry.address_hash);
+                a.out && a.heard.is_none() && hash.is_some_and(|hash| self.told.drained(hash))
+            };
+            let out = job.attempts.iter().enumerate().filter(|(_, a)| drained(a));
+            actions.extend(out.map(|(n, _)| Action::Cancel { request: *id, attempt: n as u32 }));
+        }
+        for index in 0..self.workers.len() {
+            self.settle(index);
+            self.serve(index, actions);
+        }
+    }
+
     // ---- requests ------------------------------------------------------------------------------------
 
     fn request(&mut self, mut request: Request, actions: &mut Vec<Action>) {
@@ -323,6 +352,11 @@
         (request.slots, request.memory) = (sound(request.slots, 0.01), sound(request.memory, 0.0));
         self.usual_memory += 0.05 * (request.memory - self.usual_memory);
         request.class = request.class.min(self.classes.len() as u32 - 1);
+        if let Some(wait) = self.told.beyond(request.tenant, self.now) {
+            let wait = self.jittered(wait);
+            let retry_after = self.told.retry_after(wait).min(self.settings.max_retry_after);
+            return actions.push(Action::Refuse { request: id, retry_after });
+        }
         let class = &self.settings.classes[request.class as usize];
         let view = &self.classes[request.class as usize];
         // A repeat has less time left than a first try: its aim began with that one. With hardly any left it
@@ -338,8 +372,8 @@
         let over_share = self.shares.over(request.tenant, self.now);
         request.key.into_iter().for_each(|key| self.keys.add(key));
         let homes = match request.key {
-            key if self.sparse() => self.sought(key, request.class, None),
-            key => key.map_or_else(Vec::new, |key| self.homes(key)),
+            key if self.sparse() => self.sought(key, request.class, None, request.tenant),
+            key => key.map_or_else(Vec::new, |key| self.homes(key, request.tenant)),
         };
         self.at(deadline, Due::Deadline(id));
         let job = Job {
@@ -440,7 +474,8 @@
             // One of many dispatchers that finds nothing open says little of the others, and the aim of a try
             // goes on from the first: soon then, and not at the moment at which all who were told come back.
             let longest = self.settings.max_retry_after;
-            let retry_after = if self.sparse() { self.jittered(AGAIN).min(longest) } else { longest };
+            let retry_after = if self.sparse() { self.jittered(AGAIN) } else { longest };
+            let retry_after = self.told.retry_after(retry_after).min(longest);
             actions.push(Action::Refuse { request: id, retry_after });
         } else {
             actions.push(Action::Fail { request: id });
@@ -475,7 +510,7 @@
         !job.over
             && !job.streaming
             && self.now < job.deadline
-            && job.attempts.len() < self.settings.max_attempts as usize
+            && job.attempts.len() < self.settings.max_attempts.min(self.told.attempts()) as usize
             && (self.settings.parallel_tries || job.attempts.iter().all(|a| !a.out))
             && !(effect == Effect::Unsafe && tried)
     }
@@ -498,6 +533,7 @@
             && class.kind.is_none_or(|kind| kind == worker.entry.kind)
             && (job.homes.is_empty() || job.homes.contains(&index))
             && !self.silent(worker)
+            && self.told.allows(worker.entry.address_hash, job.request.tenant, self.now)
             && self.in_group(worker, job)
             && !(self.sparse() && self.now > worker.read + FRESH)
             && self.spare(worker, job)
@@ -593,20 +629,25 @@
         self.settle(index);
     }
 
-    fn homes(&self, key: u64) -> Vec<usize> {
-        let mut ranked = self.ring.rank(key, NEIGHBOURS, |_| Some(1.0));
+    fn homes(&self, key: u64, tenant: Option<u32>) -> Vec<usize> {
+        let hash = |index: usize| self.workers[index].as_ref().map(|w| w.entry.address_hash);
+        let allowed = |index| hash(index).is_some_and(|hash| self.told.allows(hash, tenant, self.now));
+        let mut ranked = self.ring.rank(key, NEIGHBOURS, |index| allowed(index).then_some(1.0));
         ranked.truncate(HOMES);
         ranked
     }
 
     /// The workers that a sparse dispatcher looks at for a job, in their order: those that its key's traffic
     /// fills in any order, then the next that rank highest for the key, or for none in particular.
-    fn sought(&mut self, key: Option<u64>, class: u32, cell: Option<u32>) -> Vec<usize> {
+    fn sought(&mut self, key: Option<u64>, class: u32, cell: Option<u32>, tenant: Option<u32>) -> Vec<usize> {
         let share = key.map_or(0.0, |key| self.keys.share(key, DOUBT));
         let busy = share * self.demand.per_s() * f64::from(self.settings.dispatchers);
         let mut need = busy * self.classes[class as usize].run / SECOND / SLOTS / FILL;
         let inside = |index: usize| {
-            cell.is_none_or(|cell| self.workers[index].as_ref().is_some_and(|w| w.entry.cell == cell))
+            self.workers[index].as_ref().is_some_and(|w| {
+                cell.is_none_or(|cell| w.entry.cell == cell)
+                    && self.told.allows(w.entry.address_hash, tenant, self.now)
+            })
         };
         let key = key.unwrap_or_else(|| self.rng.u64(..));
         let weight = |n: usize| self.workers[n].as_ref().filter(|_| inside(n)).map(|w| self.weight(w));
@@ -638,6 +679,7 @@
         let due = if worker.probing { self.now < worker.asked + HEDGE } else { self.now >= worker.next };
         due && self.now > worker.read + FRESH
             && (worker.probing || self.probes >= 1.0)
+            && self.told.allows(worker.entry.address_hash, job.request.tenant, self.now)
             && self.in_group(worker, job)
             && self.spare(worker, job)
     }
@@ -736,7 +778,7 @@
         attempt.maybe_ran = !outcome.never_ran();
         let (index, sent, heard) = (attempt.worker, attempt.sent, attempt.heard);
         let first = heard.is_none();
-        let Request { slots, memory, key, class, .. } = job.request;
+        let Request { slots, memory, key, class, tenant, .. } = job.request;
         if outcome == Outcome::Ok {
             let run = &mut self.classes[job.request.class as usize].run;
             let from = heard.filter(|_| sparse).unwrap_or(sent);
@@ -772,7 +814,7 @@
             } else if job.attempts.iter().all(|a| !a.out) {
                 let ran = job.attempts.iter().rev().find(|a| a.maybe_ran).map(|a| a.worker);
                 let cell = ran.and_then(|w| self.workers[w].as_ref()).map(|w| w.entry.cell);
-                let sought = sparse.then(|| self.sought(key, class, cell));
+                let sought = sparse.then(|| self.sought(key, class, cell, tenant));
                 if let (Some(sought), Some(job)) = (sought, self.jobs.get_mut(&id)) {
                     job.homes = sought;
                 }
@@ -845,7 +887,7 @@
             worker.failed(1.0);
             worker.probing = false;
             self.settle(index);
-        } else if std::mem::take(&mut worker.waiting) {
+        } else if std::mem::take(&mut worker.waiting) && !self.told.never(worker.entry.address_hash) {
             worker.probing = true;
             actions.push(Action::Probe { worker: WorkerId(index as u32) });
             self.at(self.now + PROBE_LOST, Due::Probe(index, timer));
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -4,10 +4,11 @@
 use std::collections::{BinaryHeap, HashMap, VecDeque};
 use std::fmt;
 use std::hash::Hash;
+use std::sync::Arc;
 
 use nickelflow::{
-    Action, Dispatcher, Event, ListKind, Nanos, Outcome, Report, Request, RequestId, Settings, SettingsError,
-    WorkerId,
+    Action, Dispatcher, Event, ListKind, Nanos, Outcome, Report, Request, RequestId, Rules, Settings,
+    SettingsError, WorkerId,
 };
 
 use crate::instances::{Instance, Instances, Known};
@@ -88,6 +89,11 @@
     Ending {
         by: Nanos,
     },
+    /// Rules that all schedulers agree on, in full until then; instances in them are named by [`hash`](crate::hash).
+    Rules {
+        rules: Arc<Rules>,
+        until: Nanos,
+    },
     /// [`Engine::next_wake`] has come.
     Wake,
 }
@@ -284,6 +290,7 @@
                 self.decide(Event::Probed { worker: WorkerId(instance), outcome, report });
             }
             Input::Ending { by } => self.decide(Event::Ending { by }),
+            Input::Rules { rules, until } => self.decide(Event::Rules { rules, until }),
             Input::Wake => {
                 let mut due = false;
                 while self.wakes.peek().is_some_and(|at| at.0 <= self.now) {
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -43,6 +43,7 @@
 
 pub use engine::{Answer, End, Engine, Execute, Input, Job, Misuse, Order};
 pub use instances::{Instance, Known};
+pub use nickelflow::{CarefulRules, RuledUse, Rules};
 pub use nickelflow::{ListKind, Membership, Nanos, Outcome, Report, Settings, SettingsError};
 
 /// FNV-1a, 64 bits: the same for every scheduler and build, so that all rank the instances for a key alike.
--- a/crates/lab/src/policy/bare.rs
+++ b/crates/lab/src/policy/bare.rs
@@ -91,7 +91,11 @@
                     }
                 }
             }
-            Input::Gone { .. } | Input::Progress { .. } | Input::Streaming { .. } | Input::Ending { .. } => {}
+            Input::Gone { .. }
+            | Input::Progress { .. }
+            | Input::Streaming { .. }
+            | Input::Ending { .. }
+            | Input::Rules { .. } => {}
         }
     }
 
--- a/crates/lab/src/policy/frame.rs
+++ b/crates/lab/src/policy/frame.rs
@@ -351,7 +351,7 @@
                     }
                 }
             }
-            Input::Progress { .. } | Input::Streaming { .. } => {}
+            Input::Progress { .. } | Input::Streaming { .. } | Input::Rules { .. } => {}
         }
     }
 
