Play agreed rules in the drill: links between schedulers, an operator, an auditor of versions

Each scheduler reaches each voter over a link of its own; the operator speaks through the program's commands and notes what it is told. audit_rules reads versions from workers' records and documents as written: an attempt over T after a later version, beside the next but one, to a worker that is closed, or beyond a limit of all together. The nemesis draws faults on those links, with rules that change.

--- a/crates/drill/src/audit.rs
+++ b/crates/drill/src/audit.rs
@@ -54,6 +54,12 @@
     PushedOver,
     /// A scheduler ended that nobody ended.
     Crashed,
+    /// Sent under a version of the rules that nobody may act on any more.
+    OldRules,
+    /// Sent without rules, where schedulers agree on some.
+    NoRules,
+    /// Sent where the document that is in force forbids it.
+    AgainstRules,
 }
 
 /// One breach.
@@ -199,7 +205,7 @@
 
     fn note(&mut self, at: Nanos, what: &Record) {
         match what {
-            Record::Asked { id, scheduler, class, deadline } => {
+            Record::Asked { id, scheduler, class, deadline, .. } => {
                 let (scheduler, class, deadline) = (*scheduler, *class, *deadline);
                 let request = Request { scheduler, class, asked: at, deadline, open: true, answered: false };
                 self.requests.insert(id.clone(), request);
@@ -264,6 +270,9 @@
             | Record::Dropped { .. }
             | Record::Up { .. }
             | Record::Link { .. }
+            | Record::Proposing
+            | Record::Proposed { .. }
+            | Record::InForce { .. }
             | Record::Fault { .. } => {}
         }
     }
--- a/crates/drill/src/clients.rs
+++ b/crates/drill/src/clients.rs
@@ -193,7 +193,8 @@
             };
             let request = self.build(id, address, arrival, give_up, tries);
             let class = arrival.class;
-            self.scribe.note(Record::Asked { id: id.to_owned(), scheduler, class, deadline });
+            let tenant = self.scenario.tenants.get(arrival.tenant as usize).map(|tenant| tenant.name.clone());
+            self.scribe.note(Record::Asked { id: id.to_owned(), scheduler, class, tenant, deadline });
             let answered = async {
                 let answer = sender.send_request(request).await?;
                 let (status, after) = (answer.status().as_u16(), retry_after(&answer));
--- a/crates/drill/src/lib.rs
+++ b/crates/drill/src/lib.rs
@@ -7,7 +7,9 @@
 //! models, driven by the drill's clock. See `docs/operators/drills.md`.
 #![forbid(unsafe_code)]
 
+pub mod agreement;
 pub mod audit;
+pub mod audit_rules;
 pub mod clients;
 pub mod discovery;
 pub mod http;
--- a/crates/drill/src/main.rs
+++ b/crates/drill/src/main.rs
@@ -172,6 +172,9 @@
         for span in outcome.spans() {
             println!("  {:>6.2} to {:>6.2} s  {}", span.from_s, span.to_s, span.name);
         }
+        if let Some(overlaps) = &outcome.overlaps {
+            println!("{overlaps}");
+        }
         for finding in &outcome.findings {
             println!("BROKEN {finding}");
         }
--- a/crates/drill/src/nemesis.rs
+++ b/crates/drill/src/nemesis.rs
@@ -11,6 +11,8 @@
 
 /// The shortest and the longest fault (s).
 const LENGTH: (f64, f64) = (0.5, 5.0);
+/// Between two proposals of other rules, where schedulers agree on some (ms).
+const EACH_CHANGE_MS: f64 = 100.0;
 /// From the begin and to the end of traffic nothing goes wrong for so long (s): to be well first, and to show that
 /// all recovers.
 const CALM: f64 = 2.0;
@@ -20,6 +22,12 @@
     let mut random = random::stream(seed, Concern::Faults, 0);
     let end = drill.world.duration_s.0 - CALM;
     let mut events = Vec::new();
+    if drill.rules.is_some() {
+        // Rules change all the while.
+        let all = Bounded(drill.world.duration_s.0 - 2.0 * CALM);
+        let what = What::Changes { every_ms: Bounded(EACH_CHANGE_MS) };
+        events.push(Event { at_s: Bounded(CALM / 2.0), for_s: all, what });
+    }
     let mut at = CALM;
     loop {
         at += random::exponential(&mut random) * gap.max(0.05);
@@ -47,7 +55,9 @@
     let way = [Way::Requests, Way::Answers, Way::Both][below(random, 3) as usize];
     let then = [Then::Deliver, Then::Reset][below(random, 2) as usize];
     let from = [one, Parties::Schedulers][below(random, 2) as usize];
-    match below(random, 12) {
+    let peers = Parties::Schedulers;
+    let kinds = if drill.rules.is_some() { 17 } else { 12 };
+    match below(random, kinds) {
         0 => What::Kill { schedulers: some },
         1 => What::Stop { schedulers: some },
         2 => What::Restart { schedulers: some, older: false },
@@ -64,8 +74,17 @@
         10 => [What::Crash { workers: rack }, What::Vanish { workers: rack }, What::Hang { workers: rack }]
             [below(random, 3) as usize]
             .clone(),
-        _ => [What::Drain { workers: rack }, What::DiscoveryDown, What::DiscoveryStale]
+        11 => [What::Drain { workers: rack }, What::DiscoveryDown, What::DiscoveryStale]
             [below(random, 3) as usize]
             .clone(),
+        12 => What::Cut { from: one, to: peers, way, then },
+        13 => What::Cut { from: peers, to: one, way, then },
+        14 => {
+            let (by_ms, jitter_ms) =
+                (Bounded(random::between(random, (5.0, 1_500.0)).round()), Bounded(200.0));
+            What::Delay { from, to: peers, by_ms, jitter_ms }
+        }
+        15 => What::ResetAtRandom { from, to: peers, part: Bounded(0.05) },
+        _ => What::Refuse { from: one, to: peers },
     }
 }
--- a/crates/drill/src/processes.rs
+++ b/crates/drill/src/processes.rs
@@ -30,11 +30,15 @@
     binary: PathBuf,
     older: Option<PathBuf>,
     config: PathBuf,
+    /// Its own settings, where it has any.
+    pub own: Option<PathBuf>,
+    /// Where it listens for other schedulers.
+    pub peers: SocketAddr,
     log: PathBuf,
     scribe: Scribe,
     child: Option<Child>,
     /// Keeps the address while no process has it.
-    _held: TcpSocket,
+    _held: [TcpSocket; 2],
 }
 
 impl Process {
@@ -47,10 +51,13 @@
         scribe: Scribe,
     ) -> std::io::Result<Process> {
         // Not the addresses that connections go out from: a port that is free now stays so.
-        let held = bound(SocketAddr::from((Ipv4Addr::new(127, 0, 2, (number + 1).min(254) as u8), 0)))?;
+        let own = SocketAddr::from((Ipv4Addr::new(127, 0, 2, (number + 1).min(254) as u8), 0));
+        let held = [bound(own)?, bound(own)?];
         Ok(Process {
             number,
-            address: held.local_addr()?,
+            address: held[0].local_addr()?,
+            peers: held[1].local_addr()?,
+            own: None,
             binary: binary.to_owned(),
             older: older.map(Path::to_owned),
             config: folder.join(format!("n{number}.json")),
@@ -79,7 +86,9 @@
             .append(true)
             .open(&self.log)
             .map_err(|e| format!("{}: {e}", self.log.display()))?;
+        let own = self.own.iter().flat_map(|own| [std::ffi::OsStr::new("--config"), own.as_os_str()]);
         let child = Command::new(binary)
+            .args(own)
             .env_clear()
             .env("RELAY_CONFIG", &self.config)
             .stdin(Stdio::null())
--- a/crates/drill/src/record.rs
+++ b/crates/drill/src/record.rs
@@ -55,6 +55,7 @@
         id: String,
         scheduler: u32,
         class: u32,
+        tenant: Option<String>,
         deadline: Nanos,
     },
     /// The last byte of an answer has come.
@@ -128,6 +129,18 @@
         to: Party,
         fault: Option<String>,
     },
+    /// The operator begins to propose something.
+    Proposing,
+    /// The operator has proposed this document, under this number.
+    Proposed {
+        number: u64,
+        document: String,
+    },
+    /// The operator has been told that this proposal is in force, with this version.
+    InForce {
+        number: u64,
+        version: String,
+    },
     /// A fault of the timeline begins or ends; its number there, and its name.
     Fault {
         number: u32,
--- a/crates/drill/src/run.rs
+++ b/crates/drill/src/run.rs
@@ -12,7 +12,9 @@
 use nickelflow_lab::time::{in_seconds, millis, seconds, MS};
 use tokio::sync::Mutex;
 
+use crate::agreement::{Agreement, Operator};
 use crate::audit::{audit, Finding, Law, Repeat};
+use crate::audit_rules::{audit_rules, Agreed, Overlaps};
 use crate::clients::{self, Front};
 use crate::discovery::Discovery;
 use crate::links::Link;
@@ -45,6 +47,8 @@
 pub struct Outcome {
     pub entries: Vec<Entry>,
     pub findings: Vec<Finding>,
+    /// Where schedulers agree on rules: how well.
+    pub overlaps: Option<Overlaps>,
     pub summary: Summary,
     /// When traffic began.
     pub begin: u64,
@@ -87,12 +91,23 @@
         links.extend([Arc::new(news), Arc::new(front)]);
         processes.push(Arc::new(Mutex::new(process)));
     }
+    let operator = match &drill.rules {
+        Some(agreement) => {
+            let scribe = scribe.clone();
+            let done = agree(agreement, options, folder, &processes, &mut links, scribe).await;
+            Some(done?)
+        }
+        None => None,
+    };
     let front = Front::new(fronts);
     for process in &processes {
         let mut process = process.lock().await;
         process.start(false).await?;
         front.admit(process.number, true);
     }
+    if let (Some(operator), Some(agreement)) = (&operator, &drill.rules) {
+        operator.found(&agreement.document).await?;
+    }
     let front_notices = Duration::from_secs_f64(drill.world.clients.front_notices_s.0);
     let stage = Arc::new(Stage {
         scribe: scribe.clone(),
@@ -100,6 +115,9 @@
         workers: workers.clone(),
         links,
         discovery,
+        operator,
+        tenants: drill.world.tenants.iter().map(|tenant| tenant.name.clone()).collect(),
+        names: workers.iter().map(|worker| worker.name.clone()).collect(),
         front: front.clone(),
         front_notices,
     });
@@ -139,14 +157,69 @@
     }
     let entries = scribe.entries();
     let racks = workers.iter().map(|worker| worker.rack).collect();
-    let findings = audit(&law(drill, racks), &entries);
-    Ok(Outcome { findings, summary: stats.close(), entries, begin })
+    let mut findings = audit(&law(drill, racks), &entries);
+    let names = workers.iter().map(|worker| worker.name.clone()).collect();
+    let overlaps =
+        drill.rules.as_ref().map(|agreement| audit_rules(&agreed(drill, agreement, names), &entries));
+    findings.extend(overlaps.iter().flat_map(|overlaps| overlaps.findings.iter().cloned()));
+    Ok(Outcome { findings, overlaps, summary: stats.close(), entries, begin })
+}
+
+/// Gives each scheduler its settings and each voter its folder, with a link from each scheduler to each voter.
+async fn agree(
+    agreement: &Agreement,
+    options: &Options,
+    folder: &Path,
+    processes: &[Arc<Mutex<Process>>],
+    links: &mut Vec<Arc<Link>>,
+    scribe: Scribe,
+) -> Result<Operator, String> {
+    let io = |what: &'static str| move |e: std::io::Error| format!("{what}: {e}");
+    let mut voters = Vec::new();
+    for process in &processes[..agreement.voters.0 as usize] {
+        voters.push(process.lock().await.peers);
+    }
+    let operator = Operator::new(agreement, &options.binary, folder, &voters, scribe);
+    let operator = operator.map_err(io("the operator's settings"))?;
+    for process in processes {
+        let mut process = process.lock().await;
+        let from = Party::Scheduler(process.number);
+        let mut reached = Vec::new();
+        for (voter, address) in voters.iter().enumerate() {
+            // To itself it needs none.
+            if voter as u32 == process.number {
+                reached.push(*address);
+                continue;
+            }
+            let link = Link::new(from, Party::Scheduler(voter as u32), *address, options.seed);
+            let link = link.await.map_err(io("a link"))?;
+            reached.push(link.address);
+            links.push(Arc::new(link));
+        }
+        let own = folder.join(format!("n{}.toml", process.number));
+        let settings = agreement.settings(process.number, process.peers, &reached, folder);
+        std::fs::write(&own, settings).map_err(io("a scheduler's settings"))?;
+        if (process.number as usize) < voters.len() {
+            operator.command(Some(&own), &["prepare"]).await?;
+        }
+        process.own = Some(own);
+    }
+    Ok(operator)
 }
 
 fn to_scheduler(number: u32) -> Party {
     Party::Scheduler(number)
 }
 
+/// From the write of an attempt to its note, with the drill's own work between.
+const TRANSIT: u64 = 200 * MS;
+
+/// The figures of the agreement. The last is the program's own: part of a limit that is saved up.
+fn agreed(drill: &Drill, agreement: &Agreement, workers: Vec<String>) -> Agreed {
+    let schedulers = drill.schedulers();
+    Agreed { bound: agreement.bound(), transit: TRANSIT, saved_s: 0.25, schedulers, workers }
+}
+
 /// The rules' figures, with the platform's slack.
 fn law(drill: &Drill, racks: Vec<u32>) -> Law {
     let rules = &drill.world.rules;
--- a/crates/drill/src/scenario.rs
+++ b/crates/drill/src/scenario.rs
@@ -6,6 +6,8 @@
 use nickelflow_lab::scenario::{Bounded, Millis, Part, Scenario, Seconds};
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
+use crate::agreement::Agreement;
+
 /// A drill.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -15,6 +17,8 @@
     /// Zones that the racks are dealt to in turn.
     #[serde(default = "one")]
     pub zones: Bounded<1_000, 26_000>,
+    /// Rules that the schedulers agree on; without them they do not know each other.
+    pub rules: Option<Agreement>,
     #[serde(default)]
     pub events: Vec<Event>,
 }
@@ -206,6 +210,15 @@
     Drain {
         workers: Parties,
     },
+    /// The operator proposes this document.
+    Propose {
+        document: String,
+    },
+    /// The operator proposes drawn documents, one each so often.
+    Changes {
+        #[serde(with = "plain")]
+        every_ms: Millis,
+    },
     DiscoveryDown,
     /// Nothing new is listed.
     DiscoveryStale,
@@ -228,6 +241,8 @@
             What::Vanish { .. } => "vanish",
             What::Hang { .. } => "hang",
             What::Drain { .. } => "drain",
+            What::Propose { .. } => "propose",
+            What::Changes { .. } => "changes",
             What::DiscoveryDown => "discovery down",
             What::DiscoveryStale => "discovery stale",
         }
@@ -287,6 +302,9 @@
         if workers > MOST_WORKERS || workers * schedulers > MOST_LINKS {
             return Err(format!("world.pools: over {MOST_WORKERS} workers or {MOST_LINKS} links to them"));
         }
+        if self.rules.as_ref().is_some_and(|rules| rules.voters.0 as u32 > schedulers) {
+            return Err("rules.voters: more than there are schedulers".to_owned());
+        }
         for (number, event) in self.events.iter().enumerate() {
             self.sound(&event.what).map_err(|why| format!("events[{number}].{why}"))?;
         }
@@ -325,7 +343,12 @@
             | What::Vanish { workers }
             | What::Hang { workers }
             | What::Drain { workers } => only_workers(*workers).and_then(|()| known("workers", *workers)),
-            What::DiscoveryDown | What::DiscoveryStale => Ok(()),
+            What::Propose { .. } | What::Changes { .. } if self.rules.is_none() => {
+                Err("there are no rules to change".to_owned())
+            }
+            What::Propose { .. } | What::Changes { .. } | What::DiscoveryDown | What::DiscoveryStale => {
+                Ok(())
+            }
         }
     }
 }
--- a/crates/drill/src/timeline.rs
+++ b/crates/drill/src/timeline.rs
@@ -8,6 +8,7 @@
 use nickelflow_lab::time::seconds;
 use tokio::sync::Mutex;
 
+use crate::agreement::Operator;
 use crate::clients::Front;
 use crate::discovery::Discovery;
 use crate::links::{Link, State, Way as LinkWay};
@@ -23,6 +24,10 @@
     pub workers: Vec<Arc<Worker>>,
     pub links: Vec<Arc<Link>>,
     pub discovery: Arc<Discovery>,
+    /// Who changes the rules that schedulers agree on, and the names that they are made of.
+    pub operator: Option<Operator>,
+    pub tenants: Vec<String>,
+    pub names: Vec<String>,
     pub front: Arc<Front>,
     /// How long the front goes on sending clients to a scheduler that has died.
     pub front_notices: Duration,
@@ -54,6 +59,18 @@
             stage.workers_event(&event.what, &met, length).await;
             Ok(())
         }
+        What::Propose { document } => match &stage.operator {
+            Some(operator) => operator.propose(document).await,
+            None => Ok(()),
+        },
+        What::Changes { every_ms } => match &stage.operator {
+            Some(operator) => {
+                let every = Duration::from_secs_f64(every_ms.0 / 1e3);
+                let changes = operator.changes(&stage.tenants, &stage.names, u64::from(number), every);
+                tokio::time::timeout(length, changes).await.unwrap_or(Ok(()))
+            }
+            None => Ok(()),
+        },
         What::DiscoveryDown => {
             stage.discovery.down(true);
             tokio::time::sleep(length).await;
--- a/crates/drill/tests/audit.rs
+++ b/crates/drill/tests/audit.rs
@@ -23,7 +23,7 @@
 }
 
 fn asked(class: u32) -> Record {
-    Record::Asked { id: id(), scheduler: 0, class, deadline: 5_000 * MS }
+    Record::Asked { id: id(), scheduler: 0, class, tenant: None, deadline: 5_000 * MS }
 }
 
 fn reached(run: u64, worker: u32) -> Record {
--- a/crates/drill/tests/processes.rs
+++ b/crates/drill/tests/processes.rs
@@ -82,3 +82,39 @@
     let gone = !Path::new(&format!("/proc/{pid}")).exists();
     assert!(gone, "process {pid} is left");
 }
+
+fn rules() -> Drill {
+    let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../lab/drills/rules.toml");
+    Drill::load(&file).expect("a sound drill")
+}
+
+fn play_drill(drill: &Drill) -> Outcome {
+    let options = Options { binary: binary(), older: None, seed: 1, keep: None };
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime");
+    runtime.block_on(run(drill, &options)).expect("it can be played")
+}
+
+#[test]
+fn schedulers_agree_on_rules_in_time_through_cuts_kills_and_stops() {
+    let outcome = play_drill(&rules());
+    let findings: Vec<String> = outcome.findings.iter().map(ToString::to_string).collect();
+    assert!(findings.is_empty(), "{findings:#?}");
+    let overlaps = outcome.overlaps.expect("they agree on rules");
+    assert!(overlaps.careful > 0, "nobody was ever cut off");
+    // Each change has come into force, and cut off or not, work was served.
+    let in_force = |what: &Record| matches!(what, Record::InForce { .. });
+    assert_eq!(outcome.entries.iter().filter(|entry| in_force(&entry.what)).count(), 3);
+    assert!(outcome.summary.in_time > 0);
+}
+
+#[test]
+fn a_lease_that_is_honoured_too_long_is_found() {
+    let mut drill = rules();
+    drill.events.truncate(2);
+    drill.world.duration_s = nickelflow_lab::scenario::Bounded(8.0);
+    drill.rules.as_mut().expect("rules").honour_ms = Some(nickelflow_lab::scenario::Bounded(30_000.0));
+    let outcome = play_drill(&drill);
+    let old =
+        |finding: &nickelflow_drill::audit::Finding| finding.rule == nickelflow_drill::audit::Rule::OldRules;
+    assert!(outcome.findings.iter().any(old), "{:?}", outcome.findings);
+}
