Take more jobs on a report where reports show little room

RUN_OFF goes from 4 up to 10 jobs a slot at warm workers, as the room that their reports show falls under a quarter (meters.rs, Room; Dispatcher::part).

--- a/crates/decisions/src/meters.rs
+++ b/crates/decisions/src/meters.rs
@@ -1,6 +1,6 @@
 //! What a dispatcher measures of its traffic: how much comes, and which of it is within its tenant's share.
 
-use crate::interface::{Nanos, Settings, Tenant};
+use crate::interface::{Nanos, Report, Settings, Tenant};
 
 const SECOND: f64 = 1e9;
 /// Memory (s) of the arrival rates, and burst (s of quota) that counts as within a share.
@@ -110,6 +110,31 @@
     }
 }
 
+/// Which part of workers' slots is free, by their reports; all of it before the first.
+pub struct Room(f64);
+
+/// What one report weighs.
+const ROOM_SEEN: f64 = 0.025;
+
+impl Default for Room {
+    fn default() -> Self {
+        Room(1.0)
+    }
+}
+
+impl Room {
+    /// Counts the report of a worker with so many slots; what waits there takes the free ones.
+    pub fn seen(&mut self, report: &Report, slots: f64) {
+        let sound = |figure: Option<f64>| figure.filter(|f| f.is_finite() && *f >= 0.0).unwrap_or(0.0);
+        let free = (sound(report.free_slots) - sound(report.queued)) / slots.max(1.0);
+        self.0 += ROOM_SEEN * (free.clamp(0.0, 1.0) - self.0);
+    }
+
+    pub fn part(&self) -> f64 {
+        self.0
+    }
+}
+
 /// What was saved up of something that grows evenly, and is spent in whole jobs.
 pub struct Savings {
     left: f64,
--- a/crates/decisions/src/rules.rs
+++ b/crates/decisions/src/rules.rs
@@ -15,7 +15,7 @@
 use crate::index::{mix, Agenda, Counts, Hold, Pool, Ring};
 use crate::interface::*;
 use crate::load::{Load, Part};
-use crate::meters::{Demand, Savings, Shares};
+use crate::meters::{Demand, Room, Savings, Shares};
 use crate::state::{Attempt, ClassView, Due, End, Job, Worker};
 use crate::told::Told;
 
@@ -52,8 +52,11 @@
 const FRESH: Nanos = 300 * MS;
 const HEDGE: Nanos = 30 * MS;
 /// Of a report, all sparse dispatchers together take the free slots, and for each slot RUN_OFF jobs that end
-/// before the next report; what jobs ask of a worker in that time is 1/OVERBOOKED of that or less.
+/// before the next report; what jobs ask of a worker in that time is 1/OVERBOOKED of that or less. Where warm
+/// workers report less than ROOM of their slots free it goes up to RUN_OFF_BUSY: keys passed on cost fetches.
 const RUN_OFF: f64 = 4.0;
+const RUN_OFF_BUSY: f64 = 10.0;
+const ROOM: f64 = 0.25;
 const OVERBOOKED: f64 = 1.5;
 /// A sparse dispatcher's job waits, held or unstarted, for its aim and this part of a usual run: what waits
 /// longer is mostly late, and run all the same it takes the slots of those behind it.
@@ -124,8 +127,9 @@
     mean: f64,
     /// Usual size of the workers of a kind.
     sizes: BTreeMap<u32, f64>,
-    /// Probes that jobs have paid for.
+    /// Probes that jobs have paid for, and the room that reports show.
     probes: f64,
+    room: Room,
     /// What all dispatchers have agreed on.
     told: Told,
     /// When all must be answered, for this dispatcher ends.
@@ -161,6 +165,7 @@
             keys: Counts::new(KEYS_SEEN),
             mean: 1.0,
             probes: PROBES_A_JOB,
+            room: Room::default(),
             told: Told::default(),
             ending: Nanos::MAX,
             settings,
@@ -320,12 +325,9 @@
     // ---- rules that all agree on ---------------------------------------------------------------------
 
     fn rules(&mut self, rules: Arc<Rules>, until: Nanos, actions: &mut Vec<Action>) {
-        let parts = rules.parts;
-        if !self.told.tell(rules, until, self.now) {
-            return;
-        }
-        self.settings.dispatchers = parts.max(1);
-        let tells = self.settings.can_cancel && self.settings.tells_start;
+        self.settings.dispatchers = rules.parts.max(1);
+        let changed = self.told.tell(rules, until, self.now);
+        let tells = changed && self.settings.can_cancel && self.settings.tells_start;
         for (id, job) in self.jobs.iter().filter(|_| tells) {
             let drained = |a: &Attempt| {
                 let hash = self.workers[a.worker].as_ref().map(|w| w.entry.address_hash);
@@ -334,7 +336,7 @@
             let out = job.attempts.iter().enumerate().filter(|(_, a)| drained(a));
             actions.extend(out.map(|(n, _)| Action::Cancel { request: *id, attempt: n as u32 }));
         }
-        for index in 0..self.workers.len() {
+        for index in (0..self.workers.len()).filter(|_| changed) {
             self.settle(index);
             self.serve(index, actions);
         }
@@ -874,8 +876,10 @@
         let workers = if sparse { self.ring.len() } else { self.workers.len() };
         let wanted = self.demand.per_s() * REPORT_AGE as f64 / SECOND / workers.max(1) as f64;
         let even = 1.0 / f64::from(self.settings.dispatchers) / wanted.min(1.0);
+        let busy = if warm < 1.0 { 0.0 } else { 1.0 - (self.room.part() / ROOM).min(1.0) };
+        let run_off = (RUN_OFF + busy * (RUN_OFF_BUSY - RUN_OFF)) * warm;
         match sparse {
-            true => Part { run_off: RUN_OFF * warm, size, part: even / OVERBOOKED / warm, luck: None },
+            true => Part { run_off, size, part: even / OVERBOOKED / warm, luck: None },
             false => Part { run_off: 0.0, size, part: (PART * even).min(1.0), luck },
         }
     }
@@ -897,8 +901,11 @@
     fn probed(&mut self, id: WorkerId, outcome: Outcome, report: Option<Report>, actions: &mut Vec<Action>) {
         let index = id.0 as usize;
         let part = self.part(index);
+        let warm =
+            self.workers.get(index).and_then(Option::as_ref).is_some_and(|w| self.warm(w, 0).is_none());
         let Some(worker) = self.workers.get_mut(index).and_then(Option::as_mut) else { return };
         if outcome == Outcome::Ok {
+            report.filter(|_| warm).iter().for_each(|r| self.room.seen(r, worker.load.size.max(part.size)));
             worker.shut = false;
             worker.report(self.now, &report.unwrap_or_default(), &part);
         } else if outcome != Outcome::NotSent {
--- a/crates/decisions/tests/scenarios.rs
+++ b/crates/decisions/tests/scenarios.rs
@@ -773,6 +773,35 @@
     assert!((5..45).contains(&stayed), "{stayed} of 50 keys stay with half-busy workers");
 }
 
+#[test]
+fn where_reports_show_no_room_a_key_stays_where_it_is_for_longer() {
+    let long = Report { queued: Some(20.0), ..free(0.0) };
+    // What it saw of the fleet for some seconds, before all have a long queue.
+    let sent = |before: Report| {
+        let stays = |seed: &u64| {
+            let mut b = one_of_a_hundred(*seed);
+            b.report = Some(free(5.0));
+            b.workers(ListKind::Full, (0..60).map(entry).collect());
+            for id in 100..400 {
+                b.report = if id < 200 { b.report } else { Some(before) };
+                b.event(keyed(id, id));
+                if !b.sends(id).is_empty() {
+                    b.event(Event::Progress { request: RequestId(id), attempt: 0 });
+                    b.outcome(id, 0, Outcome::Ok);
+                }
+                b.pass(60 * MS);
+            }
+            b.pass(S);
+            b.report = Some(long);
+            b.event(keyed(0, *seed));
+            !b.sends(0).is_empty()
+        };
+        (0..20).filter(stays).count()
+    };
+    assert_eq!(sent(free(5.0)), 0, "where there is room, a long queue is left alone");
+    assert!(sent(long) > 5, "{} of 20: all are busy, and keys are passed on all the same", sent(long));
+}
+
 #[rstest]
 fn a_hundred_together_use_a_cold_worker_and_do_not_push_it_over(#[values(0, 100, 200, 300)] from: u64) {
     // It has 5 slots, and at 20% does a job of 0.2 s in each every second; with over 3 times that for a second
