Keep messages between voters apart from holders that ask

Need: read again, 64 messages were answered at a time whoever sent them, and without a majority each holder's request stays for up to 2 s: with some dozens of holders votes and entries of the log would have waited behind them, and so the majority. Voters' messages have a path and a limit of their own (node.rs, serve). And chamber.rs, going_on, tried a next step again without a pause where it was refused at once. Also: a hundred proposals in a burst, and a document of 10,000 workers, shown.

--- a/crates/council/src/chamber.rs
+++ b/crates/council/src/chamber.rs
@@ -148,9 +148,10 @@
             let coming = self.state.rules(|rules| rules.coming() > 0).unwrap_or(false);
             if coming && self.term().is_some() {
                 if let Some(command) = self.next() {
+                    if self.command(command).await.is_ok() {
+                        continue;
+                    }
                     // It may have been overtaken, or lead no more: then whoever does goes on.
-                    let _ = self.command(command).await;
-                    continue;
                 }
                 tokio::time::sleep(LOOK).await;
                 continue;
--- a/crates/council/src/messages.rs
+++ b/crates/council/src/messages.rs
@@ -38,6 +38,19 @@
     Status,
 }
 
+/// Where a message goes: those between voters must not wait behind holders that ask while there is no majority.
+pub const BETWEEN_VOTERS: &str = "/voters";
+pub const ALL_ELSE: &str = "/rules";
+
+impl Call {
+    pub fn path(&self) -> &'static str {
+        match self {
+            Call::Append(_) | Call::Vote(_) | Call::Snapshot(_) => BETWEEN_VOTERS,
+            _ => ALL_ELSE,
+        }
+    }
+}
+
 /// What is decided by being in the log.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Command {
--- a/crates/council/src/node.rs
+++ b/crates/council/src/node.rs
@@ -22,7 +22,8 @@
 
 use crate::chamber::{small, Chamber};
 use crate::holding::Holding;
-use crate::messages::{Answer, Call, Command, Status, Unanswered, FORMAT, MOST_BYTES};
+use crate::messages::{Answer, Call, Command, Status, Unanswered};
+use crate::messages::{ALL_ELSE, BETWEEN_VOTERS, FORMAT, MOST_BYTES};
 use crate::peers::{Address, Peers, FLEET, FORMAT_HEADER};
 use crate::raft::Raft;
 use crate::state::State;
@@ -31,7 +32,7 @@
 
 /// Connections from others at a time; more wait in the listener.
 const CONNECTIONS: usize = 1_024;
-/// Bodies that are read or answered at a time: each may be large.
+/// Bodies of each kind that are read or answered at a time: each may be large.
 const MESSAGES: usize = 64;
 /// For a request's head, its body, and its answer. Slower ones are cut off.
 const HEAD: Duration = Duration::from_secs(5);
@@ -122,6 +123,7 @@
     /// Or why it does not vote.
     voter: Result<Vote, String>,
     messages: Semaphore,
+    between_voters: Semaphore,
     /// It gives up its seat, and then its vote.
     ending: AtomicBool,
 }
@@ -146,6 +148,7 @@
             holding,
             voter,
             messages: Semaphore::new(MESSAGES),
+            between_voters: Semaphore::new(MESSAGES),
             ending: AtomicBool::new(false),
         })
     }
@@ -181,9 +184,12 @@
             *response.status_mut() = status;
             Ok(response)
         };
-        if request.method() != Method::POST || request.uri().path() != "/rules" {
-            return no(StatusCode::NOT_FOUND, "only POST /rules is answered here");
-        }
+        let room = match (request.method(), request.uri().path()) {
+            (&Method::POST, ALL_ELSE) => &self.messages,
+            (&Method::POST, BETWEEN_VOTERS) => &self.between_voters,
+            _ => return no(StatusCode::NOT_FOUND, "only POST /rules and /voters are answered here"),
+        };
+        let path = request.uri().path().to_owned();
         let said = |name: &str| request.headers().get(name).map_or(&b""[..], |value| value.as_bytes());
         if said(FLEET) != self.settings.fleet.as_bytes() {
             return no(StatusCode::FORBIDDEN, "this process belongs to another fleet");
@@ -194,7 +200,7 @@
         if request.body().size_hint().lower() > MOST_BYTES as u64 {
             return no(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
         }
-        let Ok(_room) = self.messages.acquire().await else {
+        let Ok(_room) = room.acquire().await else {
             return no(StatusCode::SERVICE_UNAVAILABLE, "ending");
         };
         let body = Limited::new(request.into_body(), MOST_BYTES).collect();
@@ -203,7 +209,8 @@
             Ok(Err(_)) => return no(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large, or broke off"),
             Err(_) => return no(StatusCode::REQUEST_TIMEOUT, "the body came too slowly"),
         };
-        let Ok(call) = postcard::from_bytes::<Call>(&body) else {
+        let call = postcard::from_bytes::<Call>(&body).ok().filter(|call| call.path() == path);
+        let Some(call) = call else {
             return no(StatusCode::BAD_REQUEST, "the body cannot be read");
         };
         let answer = match tokio::time::timeout(BODY, self.answer(call)).await {
--- a/crates/council/src/peers.rs
+++ b/crates/council/src/peers.rs
@@ -68,7 +68,7 @@
         if body.len() > MOST_BYTES {
             return Err(failed(&"the message is too large"));
         }
-        let request = Request::post(format!("http://{address}/rules"))
+        let request = Request::post(format!("http://{address}{}", call.path()))
             .header(FLEET, &self.fleet)
             .header(FORMAT_HEADER, FORMAT)
             .body(Full::new(Bytes::from(body)))
--- a/crates/council/tests/councils.rs
+++ b/crates/council/tests/councils.rs
@@ -7,7 +7,7 @@
 use std::path::Path;
 use std::time::{Duration, Instant};
 
-use nickelflow_accord::{Document, Refused, Terms, Version};
+use nickelflow_accord::{Document, Refused, Standing, Terms, Version};
 use nickelflow_council::{
     prepare, start, Answer, Call, Command, Council, Peers, Settings, Status, Unanswered, Voting,
 };
@@ -401,3 +401,38 @@
     acts(&holder, 50.0).await;
     assert!(other.told.borrow().is_none());
 }
+
+#[tokio::test]
+async fn a_hundred_changes_at_once_become_few_steps_and_the_last_one_holds() {
+    let fleet = Fleet::begin();
+    let holder = fleet.holder("h");
+    assert!(matches!(fleet.ask(1, &Call::Found(limit(1_000))).await, Answer::Done(1)));
+    let first = acts(&holder, 1_000.0).await;
+    for quota in 1..=100 {
+        fleet.propose(limit(quota)).await;
+    }
+    let last = acts(&holder, 100.0).await;
+    // Each has three steps at the most, and none waits in a queue.
+    assert!(last.number - first.number <= 300, "{first} to {last}");
+    let leader = fleet.leader().await;
+    let lead = until(|| async { fleet.status(leader).await.leads.filter(|lead| lead.coming == 0) }).await;
+    assert_eq!(lead.newest, 101);
+}
+
+#[tokio::test]
+async fn a_document_of_ten_thousand_workers_reaches_all() {
+    let fleet = Fleet::begin();
+    let holder = fleet.holder("h");
+    assert!(matches!(fleet.ask(1, &Call::Found(limit(100))).await, Answer::Done(1)));
+    acts(&holder, 100.0).await;
+    let mut large = limit(50);
+    for n in 0..10_000 {
+        large.workers.insert(format!("worker-with-a-name-{n}"), Standing::Cordoned);
+    }
+    fleet.propose(large).await;
+    for council in fleet.running.values().chain([&holder]) {
+        acts(council, 50.0).await;
+        let told = council.told.borrow().clone().expect("told");
+        assert_eq!(told.step.uses.len(), 10_000);
+    }
+}
