--- a/crates/drill/src/agreement.rs
+++ b/crates/drill/src/agreement.rs
@@ -147,6 +147,19 @@
         Ok(())
     }
 
+    /// Has an earlier proposal put in force again, and notes the same.
+    pub async fn roll_back(&self, to: u32) -> Result<(), String> {
+        let Ok(document) = self.command(None, &["show", &to.to_string()]).await else { return Ok(()) };
+        self.scribe.note(Record::Proposing);
+        let Ok(said) = self.command(None, &["rollback", &to.to_string()]).await else { return Ok(()) };
+        let number = said.strip_prefix("proposal ").and_then(|said| said.split_once(','));
+        let number = number.and_then(|(number, _)| number.parse::<u64>().ok());
+        let number = number.ok_or_else(|| format!("rollback: {said}"))?;
+        self.scribe.note(Record::Proposed { number, document });
+        self.await_force(number).await;
+        Ok(())
+    }
+
     /// Notes when a proposal is in force, as the one that leads tells it.
     async fn await_force(&self, number: u64) {
         let waited = async {
--- a/crates/drill/src/audit_rules.rs
+++ b/crates/drill/src/audit_rules.rs
@@ -33,24 +33,35 @@
     /// Versions that were seen at workers, and attempts under careful rules.
     pub versions: usize,
     pub careful: usize,
+    /// From when the operator began to propose something to when it was told that it is in force.
+    pub forced: Vec<Nanos>,
 }
 
 impl std::fmt::Display for Overlaps {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        let mut sorted = self.overlaps.clone();
-        sorted.sort_unstable();
-        let at = |part: f64| sorted.get(((sorted.len() as f64 * part) as usize).min(sorted.len().max(1) - 1));
-        let ms = |part| at(part).copied().unwrap_or(0) / MS;
-        let (half, most, worst) = (ms(0.5), ms(0.99), ms(1.0));
+        let (half, most, worst) = parts(&self.overlaps);
+        let (versions, careful) = (self.versions, self.careful);
         write!(
             f,
-            "{} versions seen at workers, overlap p50 {half} ms, p99 {most} ms, worst {worst} ms; {} attempts under \
-             careful rules",
-            self.versions, self.careful
-        )
+            "{versions} versions seen at workers, overlap p50 {half} ms, p99 {most} ms, worst {worst} ms; "
+        )?;
+        let (half, most, worst) = parts(&self.forced);
+        let changes = self.forced.len();
+        write!(f, "{changes} changes told to be in force, p50 {half} ms, p99 {most} ms, worst {worst} ms; ")?;
+        write!(f, "{careful} attempts under careful rules")
     }
 }
 
+/// Median, 99th percentile and most (ms).
+fn parts(times: &[Nanos]) -> (Nanos, Nanos, Nanos) {
+    let mut sorted = times.to_vec();
+    sorted.sort_unstable();
+    let last = sorted.len().saturating_sub(1);
+    let at =
+        |part: f64| sorted.get(((sorted.len() as f64 * part) as usize).min(last)).map_or(0, |time| time / MS);
+    (at(0.5), at(0.99), at(1.0))
+}
+
 /// Where the document that is in force is known: from when on nobody may act on another, until somebody changes it.
 struct Window {
     from: Nanos,
@@ -129,6 +140,7 @@
         }
     }
     found.versions = first.len();
+    found.forced = forced(entries);
     found.overlaps = overlaps.into_values().collect();
     for window in windows(law, entries) {
         cordons(law, &window, &attempts, &kept, &mut found.findings);
@@ -161,7 +173,7 @@
 }
 
 /// `3.12` or `3.12 careful`: a term, and a number that grows by one with each version.
-fn read(told: &str) -> Option<(u64, bool)> {
+pub(crate) fn read(told: &str) -> Option<(u64, bool)> {
     let (version, careful) = match told.strip_suffix(" careful") {
         Some(version) => (version, true),
         None => (told, false),
@@ -224,6 +236,20 @@
     windows
 }
 
+/// How long each proposal took that came into force.
+fn forced(entries: &[Entry]) -> Vec<Nanos> {
+    let (mut begun, mut proposed, mut forced) = (None, HashMap::new(), Vec::new());
+    for Entry { at, what } in entries {
+        match what {
+            Record::Proposing => begun = Some(*at),
+            Record::Proposed { number, .. } => drop(proposed.insert(*number, begun.unwrap_or(*at))),
+            Record::InForce { number, .. } => forced.extend(proposed.remove(number).map(|begun| at - begun)),
+            _ => {}
+        }
+    }
+    forced
+}
+
 /// Nobody sends to a worker that is closed to all.
 fn cordons(
     law: &Agreed,
--- a/crates/drill/src/run.rs
+++ b/crates/drill/src/run.rs
@@ -1,12 +1,12 @@
 //! One drill from its begin to its end: everything is started, traffic and events are played side by side, all is
 //! ended, and the record is judged.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::Duration;
 
-use nickelflow_lab::report::{Document, Entry as Played, Lot, Span};
+use nickelflow_lab::report::{Document, Entry as Played, Lot, Plot, Span};
 use nickelflow_lab::scenario::Repeats;
 use nickelflow_lab::stats::Summary;
 use nickelflow_lab::time::{in_seconds, millis, seconds, MS};
@@ -14,7 +14,7 @@
 
 use crate::agreement::{Agreement, Operator};
 use crate::audit::{audit, Finding, Law, Repeat};
-use crate::audit_rules::{audit_rules, Agreed, Overlaps};
+use crate::audit_rules::{self, audit_rules, Agreed, Overlaps};
 use crate::clients::{self, Front};
 use crate::discovery::Discovery;
 use crate::links::Link;
@@ -252,6 +252,40 @@
         spans.into_iter().map(|(_, span)| span).collect()
     }
 
+    /// The versions that each scheduler's attempts told, over time, and how many were under careful rules.
+    fn versions(&self) -> Vec<Plot> {
+        let mut lines: BTreeMap<u32, Vec<(f64, f64)>> = BTreeMap::new();
+        let mut careful: BTreeMap<u32, BTreeMap<u64, f64>> = BTreeMap::new();
+        for Entry { at, what } in &self.entries {
+            let Record::Reached { scheduler, version: Some(told), .. } = what else { continue };
+            let Some((number, cut_off)) = audit_rules::read(told) else { continue };
+            let (at, number) = (in_seconds(at.saturating_sub(self.begin)), number as f64);
+            let line = lines.entry(*scheduler).or_default();
+            // Steps, and not every attempt.
+            if let Some((_, last)) = line.last().copied().filter(|(_, last)| *last != number) {
+                line.push((at, last));
+            }
+            if line.last().is_none_or(|(_, last)| *last != number) {
+                line.push((at, number));
+            }
+            let second = careful.entry(*scheduler).or_default().entry(at as u64).or_default();
+            *second += f64::from(u8::from(cut_off));
+        }
+        let name = |scheduler: u32| format!("scheduler {scheduler}");
+        let steps = lines.into_iter().map(|(scheduler, line)| (name(scheduler), line)).collect();
+        let seconds = |line: BTreeMap<u64, f64>| line.into_iter().map(|(s, n)| (s as f64 + 0.5, n)).collect();
+        let careful = careful.into_iter().map(|(scheduler, line)| (name(scheduler), seconds(line))).collect();
+        let plot = |caption: &str, unit: &str, lines| Plot {
+            caption: caption.to_owned(),
+            unit: unit.to_owned(),
+            lines,
+        };
+        vec![
+            plot("Versions that attempts were decided under", "number", steps),
+            plot("Attempts under careful rules", "a second", careful),
+        ]
+    }
+
     /// The laboratory's document, for its page.
     pub fn document(&self, drill: &Drill, seed: u64) -> Document {
         let mut document = Document::new(&drill.world);
@@ -264,6 +298,9 @@
             summary: self.summary.clone(),
         };
         document.lots.push(Lot { label: "drill".to_owned(), runs: vec![entry] });
+        if drill.rules.is_some() {
+            document.plots = self.versions();
+        }
         document
     }
 }
--- a/crates/drill/src/scenario.rs
+++ b/crates/drill/src/scenario.rs
@@ -214,6 +214,10 @@
     Propose {
         document: String,
     },
+    /// The operator wants an earlier proposal again.
+    RollBack {
+        to: u32,
+    },
     /// The operator proposes drawn documents, one each so often.
     Changes {
         #[serde(with = "plain")]
@@ -242,6 +246,7 @@
             What::Hang { .. } => "hang",
             What::Drain { .. } => "drain",
             What::Propose { .. } => "propose",
+            What::RollBack { .. } => "roll back",
             What::Changes { .. } => "changes",
             What::DiscoveryDown => "discovery down",
             What::DiscoveryStale => "discovery stale",
@@ -343,12 +348,11 @@
             | What::Vanish { workers }
             | What::Hang { workers }
             | What::Drain { workers } => only_workers(*workers).and_then(|()| known("workers", *workers)),
-            What::Propose { .. } | What::Changes { .. } if self.rules.is_none() => {
+            What::Propose { .. } | What::RollBack { .. } | What::Changes { .. } if self.rules.is_none() => {
                 Err("there are no rules to change".to_owned())
             }
-            What::Propose { .. } | What::Changes { .. } | What::DiscoveryDown | What::DiscoveryStale => {
-                Ok(())
-            }
+            What::Propose { .. } | What::RollBack { .. } | What::Changes { .. } => Ok(()),
+            What::DiscoveryDown | What::DiscoveryStale => Ok(()),
         }
     }
 }
--- a/crates/drill/src/timeline.rs
+++ b/crates/drill/src/timeline.rs
@@ -63,6 +63,10 @@
             Some(operator) => operator.propose(document).await,
             None => Ok(()),
         },
+        What::RollBack { to } => match &stage.operator {
+            Some(operator) => operator.roll_back(*to).await,
+            None => Ok(()),
+        },
         What::Changes { every_ms } => match &stage.operator {
             Some(operator) => {
                 let every = Duration::from_secs_f64(every_ms.0 / 1e3);
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -22,6 +22,17 @@
     /// What goes wrong, and from when to when (s).
     pub faults: Vec<Span>,
     pub lots: Vec<Lot>,
+    /// Further plots of whoever played it.
+    #[serde(default)]
+    pub plots: Vec<Plot>,
+}
+
+/// Lines over time (s), each with its label.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Plot {
+    pub caption: String,
+    pub unit: String,
+    pub lines: Vec<(String, Vec<(f64, f64)>)>,
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -60,6 +71,7 @@
             tenants: scenario.tenants.iter().map(|t| t.name.clone()).collect(),
             faults: scenario.faults.iter().map(span).collect(),
             lots: Vec::new(),
+            plots: Vec::new(),
         }
     }
 
@@ -257,6 +269,16 @@
         let plot = by_tenant(document)?;
         let _ = write!(page, "<figure><figcaption>Each tenant, within its share</figcaption>{plot}</figure>");
     }
+    for Plot { caption, unit, lines } in &document.plots {
+        let points: Vec<Vec<(f64, f64)>> = lines.iter().map(|(_, line)| line.clone()).collect();
+        let plot = over_time(document, unit, &points)?;
+        let _ = write!(page, "<figure><figcaption>{}</figcaption>{plot}", escape(caption));
+        for (index, (label, _)) in lines.iter().enumerate() {
+            let (r, g, b) = colour(index).to_backend_color().rgb;
+            let _ = write!(page, "<i style=\"background:rgb({r},{g},{b})\"></i>{} ", escape(label));
+        }
+        page += "</figure>";
+    }
     page += "</div>";
     let mut findings = Vec::new();
     for lot in &document.lots {
