Leave jobs that must not run twice to their worker when it is drained

Cause, read again: a drain called back every unstarted attempt, also of classes that allow no repeat. Called back, it may have run where that crosses its start, so it could only be answered as failed, where the worker would have done it (rules.rs, Dispatcher::rules). The test of it fails without the filter.

--- a/crates/decisions/src/rules.rs
+++ b/crates/decisions/src/rules.rs
@@ -328,12 +328,12 @@
         self.settings.dispatchers = rules.parts.max(1);
         let changed = self.told.tell(rules, until, self.now);
         let tells = changed && self.settings.can_cancel && self.settings.tells_start;
-        for (id, job) in self.jobs.iter().filter(|_| tells) {
-            let drained = |a: &Attempt| {
-                let hash = self.workers[a.worker].as_ref().map(|w| w.entry.address_hash);
-                a.out && a.heard.is_none() && hash.is_some_and(|hash| self.told.drained(hash))
-            };
-            let out = job.attempts.iter().enumerate().filter(|(_, a)| drained(a));
+        let again = |job: &Job| self.settings.classes[job.request.class as usize].effect != Effect::Unsafe;
+        let hash = |n: usize| self.workers[n].as_ref().map(|w| w.entry.address_hash);
+        let drained = |n: usize| hash(n).is_some_and(|hash| self.told.drained(hash));
+        for (id, job) in self.jobs.iter().filter(|(_, job)| tells && again(job)) {
+            let out = job.attempts.iter().enumerate();
+            let out = out.filter(|(_, a)| a.out && a.heard.is_none() && drained(a.worker));
             actions.extend(out.map(|(n, _)| Action::Cancel { request: *id, attempt: n as u32 }));
         }
         for index in (0..self.workers.len()).filter(|_| changed) {
--- a/crates/decisions/tests/agreed.rs
+++ b/crates/decisions/tests/agreed.rs
@@ -89,6 +89,16 @@
     assert!(!cancels(0) && cancels(1));
 }
 
+#[test]
+fn what_must_not_run_twice_is_left_to_a_drained_worker() {
+    // Called back, it may have run: it could only be answered as failed, where the worker would have done it.
+    let mut b = Bench::open(settings(vec![class(Effect::Unsafe)]), vec![entry(0)], 9.0);
+    b.ask(0);
+    let rules = Arc::new(Rules { workers: [(hash(0), RuledUse::Drained)].into(), ..open_rules() });
+    tell(&mut b, &rules, S);
+    assert!(!b.actions.iter().any(|a| matches!(a, Action::Cancel { .. })));
+}
+
 #[test]
 fn a_worker_that_is_never_to_be_used_is_not_probed_until_it_is_open_again() {
     let mut b = bench(1, 1.0);
