Bound what holders without a seat or an answer cost the voters

Causes, read again: a holder that found all seats taken asked again within 20 to 145 ms, and each time wrote a refused entry to the log of all voters (chamber.rs, ask): with hundreds, several thousand flushes a second. Now the seat is looked up before the log, and it waits a renewal. A voter's own holder waited for its own chamber without the limit that others have (holding.rs, lead): cut off, it missed renewals that another voter would have granted. Also: a notice that nobody waited for is gone, agreed.rs compares versions and not their text, and a late request after leaving has a test.

--- a/crates/accord/src/decider.rs
+++ b/crates/accord/src/decider.rs
@@ -137,16 +137,23 @@
 
     /// A scheduler wants a seat; one that has it keeps it.
     pub fn sit(&mut self, name: &str) -> Result<(), Refused> {
+        if self.may_sit(name)? {
+            self.seats.insert(name.to_owned(), self.version);
+        }
+        Ok(())
+    }
+
+    /// Whether a scheduler would take a seat, and does not have it; the error is that there is none.
+    pub fn may_sit(&self, name: &str) -> Result<bool, Refused> {
         if self.seats.contains_key(name) {
-            return Ok(());
+            return Ok(false);
         }
         // Where there are to be fewer, the others must not have to wait for one that came meanwhile.
         let seats = self.next.iter().map(|step| step.seats).fold(self.in_force().1.seats, u32::min);
-        if self.seats.len() >= seats as usize {
-            return Err(Refused::Full);
+        match self.seats.len() < seats as usize {
+            true => Ok(true),
+            false => Err(Refused::Full),
         }
-        self.seats.insert(name.to_owned(), self.version);
-        Ok(())
     }
 
     /// A scheduler has ended, or the operator has made sure of it: it acts on nothing any more.
--- a/crates/accord/tests/decider.rs
+++ b/crates/accord/tests/decider.rs
@@ -135,3 +135,14 @@
     assert_eq!((decider.in_force().1.seats, decider.in_force().1.parts), (2, 2));
     assert_eq!(decider.in_force().1.part("a"), 15.0);
 }
+
+#[test]
+fn who_finds_no_seat_is_told_so_without_a_change() {
+    let mut decider = Decider::new(Document { schedulers: 1, ..Document::default() });
+    assert_eq!(decider.may_sit("a"), Ok(true));
+    decider.sit("a").expect("a seat");
+    assert_eq!(decider.may_sit("a"), Ok(false));
+    let before = decider.clone();
+    assert_eq!((decider.may_sit("b"), decider.sit("b")), (Err(Refused::Full), Err(Refused::Full)));
+    assert_eq!(decider, before);
+}
--- a/crates/accord/tests/leases.rs
+++ b/crates/accord/tests/leases.rs
@@ -374,3 +374,19 @@
         assert!(found, "nothing breaks with {guard:?}");
     }
 }
+
+#[test]
+fn a_request_that_comes_late_takes_no_seat_again_for_one_that_has_left() {
+    let terms = Terms::new(1_000 * MS, 300 * MS, 0.0).expect("sound terms");
+    let step = Step::of(&Document::default());
+    let version = Version { term: 1, number: 1 };
+    let mut grantor = Grantor::new(terms, 0);
+    let (mut first, mut second) = (Holder::new(terms, 1), Holder::new(terms, 2));
+    let late = first.ask(1);
+    assert!(grantor.grant(1, "a", late, version, &step).is_some());
+    grantor.left("a");
+    assert!(grantor.over("a", &late) && grantor.grant(2, "a", late, version, &step).is_none());
+    // The next process of its name is another.
+    let anew = second.ask(3);
+    assert!(grantor.grant(3, "a", anew, version, &step).is_some());
+}
--- a/crates/council/src/chamber.rs
+++ b/crates/council/src/chamber.rs
@@ -97,8 +97,9 @@
         if self.granting(|grantor, _| grantor.over(holder, &request)).unwrap_or(false) {
             return Err(Unanswered::NameTaken);
         }
-        let seated = self.state.rules(|rules| rules.seats().any(|(name, _)| name == holder));
-        if !seated.ok_or(Unanswered::NotFounded)? {
+        // One that finds no seat asks again and again: the log must not grow by that.
+        let sits = self.state.rules(|rules| rules.may_sit(holder)).ok_or(Unanswered::NotFounded)?;
+        if sits.map_err(Unanswered::Refused)? {
             self.command(Command::Sit(holder.to_owned())).await?;
         }
         // Nothing may come between the look at what is in force and the note of what was granted.
--- a/crates/council/src/holding.rs
+++ b/crates/council/src/holding.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use nickelflow_accord::{Grant, Holder, InForce, Terms, Version};
-use tokio::sync::{watch, Notify};
+use tokio::sync::watch;
 use tracing::{info, warn};
 
 use crate::chamber::Chamber;
@@ -26,7 +26,6 @@
     told: watch::Sender<Option<Told>>,
     /// The voter that granted last, or is said to lead.
     leader: Mutex<Option<u64>>,
-    granted: Notify,
 }
 
 impl Holding {
@@ -40,8 +39,7 @@
     ) -> Arc<Holding> {
         let holder = Mutex::new(Holder::new(honoured, fastrand::u64(..)));
         let told = watch::channel(None).0;
-        let (leader, granted) = (Mutex::new(None), Notify::new());
-        Arc::new(Holding { name, terms, clock, peers, own, holder, told, leader, granted })
+        Arc::new(Holding { name, terms, clock, peers, own, holder, told, leader: Mutex::new(None) })
     }
 
     pub fn told(&self) -> watch::Receiver<Option<Told>> {
@@ -88,6 +86,10 @@
                     warn!(%why, "no lease for this scheduler");
                     tokio::time::sleep(limit).await;
                 }
+                // No seat, or no rules: neither changes soon.
+                Ok(Answer::No(Unanswered::Refused(_) | Unanswered::NotFounded)) => {
+                    tokio::time::sleep(limit).await;
+                }
                 Ok(Answer::No(Unanswered::NotLeading(Some(_)))) => tokio::time::sleep(AGAIN).await,
                 Ok(Answer::No(_)) | Ok(_) | Err(_) => {
                     let pause = AGAIN + limit.mul_f64(0.25 * fastrand::f64());
@@ -115,7 +117,6 @@
             (None, Some(old)) => old.until = until,
             (None, None) => {}
         });
-        self.granted.notify_waiters();
     }
 
     /// Asks the voter that leads, as far as is known; else any.
@@ -125,12 +126,16 @@
         let Some(voter) = known.or_else(|| fastrand::choice(&voters).copied()) else {
             return Err("no voter is configured".to_owned());
         };
+        let late = |_| Err(format!("voter {voter}: no answer within {} ms", limit.as_millis()));
         let answer = match (&self.own, call) {
+            // Not over its own listener, but with no more time than over another's.
             (Some((id, chamber)), Call::Ask { holder, request, .. }) if *id == voter => {
-                Ok(chamber.ask(holder, *request).await.unwrap_or_else(Answer::No))
+                let asked = tokio::time::timeout(limit, chamber.ask(holder, *request)).await;
+                asked.map_or_else(late, |answer| Ok(answer.unwrap_or_else(Answer::No)))
             }
             (Some((id, chamber)), Call::Command(command)) if *id == voter => {
-                Ok(chamber.command(command.clone()).await.map_or_else(Answer::No, Answer::Done))
+                let asked = tokio::time::timeout(limit, chamber.command(command.clone())).await;
+                asked.map_or_else(late, |answer| Ok(answer.map_or_else(Answer::No, Answer::Done)))
             }
             _ => match self.peers.voters().get(&voter) {
                 Some(address) => self.peers.ask(address, call, limit).await,
--- a/crates/daemon/src/agreed.rs
+++ b/crates/daemon/src/agreed.rs
@@ -31,13 +31,12 @@
     tenants: Vec<String>,
     queue: mpsc::UnboundedSender<Input<P>>,
 ) {
-    let mut last: Option<Agreed> = None;
+    let mut last: Option<(Option<Version>, Agreed)> = None;
     loop {
         let now = told.borrow_and_update().clone();
+        let version = now.as_ref().map(|now| now.version);
         let agreed = match (now, &last) {
-            (Some(now), Some(last)) if text(now.version, false) == last.version => {
-                Agreed { until: now.until, ..last.clone() }
-            }
+            (Some(now), Some((of, last))) if *of == version => Agreed { until: now.until, ..last.clone() },
             (Some(now), _) => of(&now, &tenants),
             // Before the first lease it has no part of anything.
             (None, _) => Agreed {
@@ -47,7 +46,7 @@
                 careful: HeaderValue::from_static("none"),
             },
         };
-        last = Some(agreed.clone());
+        last = Some((version, agreed.clone()));
         if queue.send(Input::Agreed(agreed)).is_err() || told.changed().await.is_err() {
             return;
         }
