Take the times of the planned end from the deadlines of the settings

Cause, in shutdown.rs: the door stayed open for 2.6 s and answers were forced after 3.3 s, both constants that fit deadlines of 3 s and more; SIGKILL may come 0.7 s after the longest deadline, here 1.8 s after the signal, with requests taken meanwhile still unanswered.

Change: Terms follow from the longest deadline (2.6 s and 3.3 s as before where it is 3 s or more); a body that is not whole when all must be answered is not waited for. A second SIGTERM and a SIGHUP during the end were ruled out as causes: they change nothing.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,13 +1,14 @@
 //! nickelflow: one scheduler on real sockets, and an operator's words to a fleet of them.
 
 use std::process::ExitCode;
+use std::time::Duration;
 
 use clap::Parser;
 use nickelflow_console::{check, rules, status, Do, Failed, LogFormat, Options, RulesSettings, Settings};
 use nickelflow_council::Council;
 use nickelflow_daemon::config::{self, Config};
 use nickelflow_daemon::counters::Shared;
-use nickelflow_daemon::shutdown::{self, Signals};
+use nickelflow_daemon::shutdown::{self, Signals, Terms};
 use tokio::sync::watch;
 use tracing::{error, info, warn};
 use tracing_subscriber::EnvFilter;
@@ -37,7 +38,8 @@
     let listener = nickelflow_daemon::listen(config.listen);
     let listener = listener.map_err(|e| format!("listen: cannot listen on {}: {e}", config.listen))?;
     let counters = Shared::default();
-    let (trigger, stages) = shutdown::shutdown();
+    let longest = config.settings.classes.iter().map(|class| class.deadline).max().unwrap_or_default();
+    let (trigger, stages) = shutdown::shutdown(Terms::new(Duration::from_nanos(longest)));
     let (discovery, moved) = watch::channel(config.discovery);
     let read_again = || match config::discovery_again(env) {
         Ok(address) => {
--- a/crates/daemon/src/service_client.rs
+++ b/crates/daemon/src/service_client.rs
@@ -151,7 +151,12 @@
             return Err(too_large);
         }
         let whole = Limited::new(body, LARGEST_BODY as usize).collect();
-        match timeout_at(self.visit.whole_by().into(), whole).await {
+        let whole = timeout_at(self.visit.whole_by().into(), whole);
+        let whole = tokio::select! {
+            whole = whole => whole,
+            () = self.shutdown.over() => return Err((StatusCode::SERVICE_UNAVAILABLE, "ending".to_owned())),
+        };
+        match whole {
             Ok(Ok(body)) => Ok(body.to_bytes()),
             Ok(Err(e)) if e.is::<LengthLimitError>() => Err(too_large),
             Ok(Err(e)) => Err((StatusCode::BAD_REQUEST, format!("body: {e}"))),
--- a/crates/daemon/src/shutdown.rs
+++ b/crates/daemon/src/shutdown.rs
@@ -11,17 +11,39 @@
 use crate::counters::Shared;
 
 /// For 0.2 to 0.4 s after the signal new connections keep arriving; clients go on using those that they have.
-/// The door stays open for longer than that: in a rolling restart the others may not be back yet, and whoever
-/// is sent away then finds nobody.
-const CROSSING: Duration = Duration::from_millis(2600);
-/// SIGKILL may come 3.7 s after the signal: what is still open this long after it is answered then.
-const ANSWERED: Duration = Duration::from_millis(3300);
+const CROSSING: Duration = Duration::from_millis(450);
+/// SIGKILL comes no sooner than this long after the longest deadline, which counts up to `LONGEST`.
+const KILL: Duration = Duration::from_millis(700);
+const LONGEST: Duration = Duration::from_secs(3);
+/// From the answers that are forced to the SIGKILL that may come, for them to be written in.
+const WRITING: Duration = Duration::from_millis(400);
+/// From the close of the door to those answers: what came last gets that long to be served.
+const LAST: Duration = Duration::from_millis(700);
+
+/// The times of a planned end, counted from its signal. SIGKILL is not announced: they must fit before the
+/// soonest one that the deadlines in the settings allow.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Terms {
+    /// Until then the door stays open: in a rolling restart the others may not be back yet, and whoever is
+    /// sent away then finds nobody.
+    pub closing: Duration,
+    /// All that is still open then is answered.
+    pub answered: Duration,
+}
+
+impl Terms {
+    pub fn new(longest_deadline: Duration) -> Terms {
+        let kill = longest_deadline.min(LONGEST) + KILL;
+        let answered = kill.saturating_sub(WRITING).max(CROSSING + Duration::from_millis(50));
+        Terms { closing: answered.saturating_sub(LAST).max(CROSSING), answered }
+    }
+}
 
 #[derive(Clone, Copy, PartialEq, PartialOrd)]
 enum Stage {
     Serving,
     Begun { answer_by: Instant },
-    Closing,
+    Closing { answer_by: Instant },
 }
 
 /// How far the shutdown has come; every part of the program that must know holds a clone.
@@ -29,19 +51,20 @@
 pub struct Shutdown(watch::Receiver<Stage>);
 
 /// Begins the shutdown.
-pub struct Trigger(watch::Sender<Stage>);
+pub struct Trigger(watch::Sender<Stage>, Terms);
 
-pub fn shutdown() -> (Trigger, Shutdown) {
+pub fn shutdown(terms: Terms) -> (Trigger, Shutdown) {
     let (trigger, shutdown) = watch::channel(Stage::Serving);
-    (Trigger(trigger), Shutdown(shutdown))
+    (Trigger(trigger, terms), Shutdown(shutdown))
 }
 
 impl Trigger {
     /// Runs through the stages; what follows waits for what was taken by itself.
     pub async fn pull(&self) {
-        self.0.send_replace(Stage::Begun { answer_by: Instant::now() + ANSWERED });
-        tokio::time::sleep(CROSSING).await;
-        self.0.send_replace(Stage::Closing);
+        let answer_by = Instant::now() + self.1.answered;
+        self.0.send_replace(Stage::Begun { answer_by });
+        tokio::time::sleep(self.1.closing).await;
+        self.0.send_replace(Stage::Closing { answer_by });
     }
 }
 
@@ -53,18 +76,23 @@
     /// Returns at the begin of the end, with the time by which all must be answered.
     pub async fn answer_by(&self) -> Instant {
         let mut stage = self.0.clone();
-        let begun = stage.wait_for(|stage| matches!(stage, Stage::Begun { .. })).await.map(|stage| *stage);
+        let begun = stage.wait_for(|stage| *stage != Stage::Serving).await.map(|stage| *stage);
         match begun {
-            Ok(Stage::Begun { answer_by }) => answer_by,
+            Ok(Stage::Begun { answer_by } | Stage::Closing { answer_by }) => answer_by,
             _ => std::future::pending().await,
         }
     }
 
+    /// Returns once the time is over in which a request may still be taken.
+    pub async fn over(&self) {
+        tokio::time::sleep_until(self.answer_by().await.into()).await;
+    }
+
     /// Returns once no new work is taken any more.
     pub async fn closing(&self) {
         let mut stage = self.0.clone();
         // A trigger that is gone can close nothing.
-        if stage.wait_for(|stage| *stage == Stage::Closing).await.is_err() {
+        if stage.wait_for(|stage| matches!(stage, Stage::Closing { .. })).await.is_err() {
             std::future::pending::<()>().await;
         }
     }
@@ -101,3 +129,22 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn all_is_answered_before_the_soonest_kill_of_any_deadline() {
+        for ms in [1, 50, 200, 300, 600, 1_100, 2_000, 3_000, 5_000, 25_000] {
+            let longest = Duration::from_millis(ms);
+            let Terms { closing, answered } = Terms::new(longest);
+            let kill = longest.min(Duration::from_secs(3)) + Duration::from_millis(700);
+            assert!(closing > Duration::from_millis(400), "{ms} ms: {closing:?} is within the crossing");
+            assert!(closing < answered, "{ms} ms");
+            assert!(answered + Duration::from_millis(200) <= kill, "{ms} ms: {answered:?} of {kill:?}");
+        }
+        let usual = Terms { closing: Duration::from_millis(2600), answered: Duration::from_millis(3300) };
+        assert_eq!(Terms::new(Duration::from_secs(5)), usual);
+    }
+}
