Withdraw attempts that have not begun when their instance or client leaves

Checked, from reading: an attempt may wait for a place among the connections, for a connect, and once more for a second connect, up to four times the connect limit of the settings, between its decision and its first byte (execution.rs, lease in a loop). Nothing that came in meanwhile was heeded: a leave of its instance not at all; a cancel only if it did not come with the connect, for the attempt was polled first; a client's leave only where the settings allow cancels. With a connect limit over the grace the first byte went out after the rule's time.

Change: the engine orders Withdraw for what is out to instances that a list tells as leaving, and for a client that has gone. An execution looks at it before a connection is used, and from there to the write nothing is waited for. What has not begun ends as NotSent, also when cancelled or out of time, so that a job that must not run twice may go elsewhere. What has begun goes on as before.

A narrow listener holds the connect until told; what was decided is read from the log.

--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -2,7 +2,7 @@
 //! it to the engine with its time, and carries the engine's orders out.
 //!
 //! It knows no protocol and keeps no books of its own: what is open, sent and answered the engine knows. Here
-//! are only the channels on which answers and cancels go out, and the parcels, which the core never looks
+//! are only the channels on which answers and stops go out, and the parcels, which the core never looks
 //! into. Executions, probes and the watch are begun by the `carry_out` it is given, and report back through
 //! the queue.
 
@@ -16,7 +16,7 @@
 use hyper::header::HeaderValue;
 use nickelflow_engine::{Engine, Input as Happened, Instance, Job as Facts, Nanos, Order as Ordered};
 use nickelflow_engine::{ListKind, Outcome, Report, Rules, Settings, SettingsError};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use tracing::{debug, warn};
 
 use crate::counters::Shared;
@@ -122,13 +122,22 @@
     Watch,
 }
 
+/// How far an attempt may still go.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
+pub enum Stop {
+    No,
+    /// It must not begin any more. If a byte of it has gone out it goes on.
+    Unbegun,
+    Now,
+}
+
 /// One attempt to be made; exactly one [`Input::Ended`] must follow.
 pub struct Execute<P> {
     pub job: u64,
     pub attempt: u32,
     pub address: SocketAddr,
     pub until: Instant,
-    pub cancel: oneshot::Receiver<()>,
+    pub stop: watch::Receiver<Stop>,
     pub under: Option<Under>,
     pub parcel: Arc<P>,
 }
@@ -189,8 +198,8 @@
     carry_out: F,
     counters: Shared,
     waiting: HashMap<u64, Waiting<P>>,
-    /// The way to cancel an execution, until that has been used or the execution has ended.
-    cancels: HashMap<(u64, u32), oneshot::Sender<()>>,
+    /// The way to stop an execution, until it has ended.
+    stops: HashMap<(u64, u32), watch::Sender<Stop>>,
     orders: Vec<Ordered<u64, Bytes>>,
     agreed: Option<Agreed>,
 }
@@ -203,7 +212,7 @@
             carry_out,
             counters,
             waiting: HashMap::new(),
-            cancels: HashMap::new(),
+            stops: HashMap::new(),
             orders: Vec::new(),
             agreed: None,
         })
@@ -254,7 +263,7 @@
             Input::Ended { job, attempt, end } => {
                 self.counters.ended(end.outcome);
                 debug!(job, attempt, outcome = ?end.outcome, "ended");
-                self.cancels.remove(&(job, attempt));
+                self.stops.remove(&(job, attempt));
                 Happened::Ended { id: job, attempt, end }
             }
             Input::Probed { instance, outcome, report } => {
@@ -293,9 +302,20 @@
         match order {
             Ordered::Execute(execute) => self.execute(execute),
             Ordered::Cancel { id, attempt } => {
-                if let Some(cancel) = self.cancels.remove(&(id, attempt)) {
+                if let Some(stop) = self.stops.get(&(id, attempt)) {
                     self.counters.cancels.add();
-                    let _ = cancel.send(());
+                    stop.send_replace(Stop::Now);
+                }
+            }
+            Ordered::Withdraw { id, attempt } => {
+                if let Some(stop) = self.stops.get(&(id, attempt)) {
+                    stop.send_if_modified(|now| {
+                        let before = *now == Stop::No;
+                        if before {
+                            *now = Stop::Unbegun;
+                        }
+                        before
+                    });
                 }
             }
             Ordered::Answer { id, answer } => {
@@ -334,14 +354,14 @@
             true => Under { version: agreed.version.clone(), lapses: Some(agreed.until) },
             false => Under { version: agreed.careful.clone(), lapses: None },
         });
-        let (cancel, cancelled) = oneshot::channel();
-        self.cancels.insert((id, attempt), cancel);
+        let (stop, stopped) = watch::channel(Stop::No);
+        self.stops.insert((id, attempt), stop);
         (self.carry_out)(Order::Execute(Execute {
             job: id,
             attempt,
             address: known.address,
             until: self.clock.instant(until),
-            cancel: cancelled,
+            stop: stopped,
             under,
             parcel: waiting.parcel.clone(),
         }));
--- a/crates/daemon/src/execution.rs
+++ b/crates/daemon/src/execution.rs
@@ -13,13 +13,13 @@
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use nickelflow_engine::{Outcome, Report};
 use tinyjson::JsonValue;
-use tokio::sync::{mpsc, OwnedSemaphorePermit, Semaphore};
+use tokio::sync::{mpsc, watch, OwnedSemaphorePermit, Semaphore};
 use tokio::time::timeout;
 use tracing::{debug, warn};
 
 use crate::config::Links;
 use crate::connection::{Connection, Lines, Written};
-use crate::core::{End, Execute, Input, Under};
+use crate::core::{End, Execute, Input, Stop, Under};
 use crate::counters::Shared;
 use crate::json;
 
@@ -65,6 +65,23 @@
     queue: mpsc::UnboundedSender<Input<Parcel>>,
 }
 
+/// What is to be known of one attempt.
+struct Attempt {
+    number: (u64, u32),
+    address: SocketAddr,
+    until: Instant,
+    stop: watch::Receiver<Stop>,
+    under: Option<Under>,
+}
+
+/// Returns once an attempt may go no further than that.
+async fn stopped(mut stop: watch::Receiver<Stop>, least: Stop) {
+    // A sender that is gone can stop nothing any more.
+    if stop.wait_for(|stop| *stop >= least).await.is_err() {
+        std::future::pending::<()>().await;
+    }
+}
+
 /// A connection in use. Dropped, it closes.
 struct Lease {
     connection: Connection,
@@ -94,17 +111,13 @@
     /// Makes one attempt and reports its one end, whichever comes first of its own outcome, the module's
     /// cancel and its time running out.
     pub async fn execute(self: Arc<Self>, execute: Execute<Parcel>) {
-        let Execute { job, attempt, address, until, cancel, under, parcel } = execute;
-        let cancelled = async {
-            // A cancel whose sender is gone can no longer come.
-            if cancel.await.is_err() {
-                std::future::pending::<()>().await;
-            }
-        };
+        let Execute { job, attempt, address, until, stop, under, parcel } = execute;
+        let made = Attempt { number: (job, attempt), address, until, stop: stop.clone(), under };
         let (end, tail) = tokio::select! {
+            // An end that crosses the cancel counts: what it tells is known.
             biased;
-            done = self.attempt((job, attempt), address, until, under, &parcel) => done,
-            () = cancelled => (Outcome::Cancelled.into(), None),
+            done = self.attempt(made, &parcel) => done,
+            () = stopped(stop, Stop::Now) => (Outcome::Cancelled.into(), None),
             () = tokio::time::sleep_until(until.into()) => (Outcome::Timeout.into(), None),
         };
         let _ = self.queue.send(Input::Ended { job, attempt, end });
@@ -113,17 +126,19 @@
         }
     }
 
-    async fn attempt(
-        &self,
-        (job, attempt): (u64, u32),
-        address: SocketAddr,
-        until: Instant,
-        under: Option<Under>,
-        parcel: &Parcel,
-    ) -> (End, Option<(Lines, Lease)>) {
+    async fn attempt(&self, made: Attempt, parcel: &Parcel) -> (End, Option<(Lines, Lease)>) {
+        let Attempt { number: (job, attempt), address, until, stop, under } = made;
         let mut fresh = false;
         let (mut lease, answer) = loop {
-            let mut lease = match self.lease(address, fresh).await {
+            // Whatever came in while a place or the connection was waited for is heeded before the first byte:
+            // a cancel, the instance's leave, the client's. From here to the write nothing is waited for.
+            let lease = tokio::select! {
+                biased;
+                () = stopped(stop.clone(), Stop::Unbegun) => Err(Outcome::NotSent),
+                () = tokio::time::sleep_until(until.into()) => Err(Outcome::NotSent),
+                lease = self.lease(address, fresh) => lease,
+            };
+            let mut lease = match lease {
                 Ok(lease) => lease,
                 Err(outcome) => return (outcome.into(), None),
             };
--- a/crates/daemon/tests/exchanges.rs
+++ b/crates/daemon/tests/exchanges.rs
@@ -3,14 +3,15 @@
 //! A file is a list of blocks, each `--- WHO VERB`, then lines. WHO is a service client (`c1`), a connection
 //! to an instance (`a.1`, in the order of accepting), the watch (`d.1`) or the `program`. Verbs:
 //! `sends` (the lines with CR LF), `gets` (one whole message, compared; `*` stands for anything), `chunk`
-//! (each line as a chunk), `ends` (the last chunk), `closes` (with a reset if so given), `closed`. The
+//! (each line as a chunk), `ends` (the last chunk), `closes` (with a reset if so given), `closed`; `crowds` and `clears` (new
+//! connections to an instance whose name begins with x do not come up in between). The
 //! program: `config` (replacements `OLD -> NEW` in config.json), `knows` (instances), `stops` (SIGTERM),
 //! `prints` (SIGUSR1), `rereads` (a new file and
 //! SIGHUP: the name of a new discovery, or the file as it stands), `logs` (waits for a line like it), `exits` (with that status).
 
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{Shutdown, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{channel, Receiver};
@@ -20,6 +21,8 @@
 
 /// Only so that a broken program fails the test instead of hanging it.
 const PATIENCE: Duration = Duration::from_secs(10);
+/// A connection that is not up by then waits for its place; on loopback others take microseconds.
+const CROWDED: Duration = Duration::from_millis(300);
 
 struct Play {
     config: String,
@@ -28,6 +31,8 @@
     listeners: HashMap<String, TcpListener>,
     streams: HashMap<String, BufReader<TcpStream>>,
     program: Option<(Child, Receiver<String>, String)>,
+    /// What keeps others from connecting.
+    crowd: Vec<TcpStream>,
 }
 
 impl Drop for Play {
@@ -51,6 +56,17 @@
     }
 }
 
+/// A listener that a single connection fills, until it is accepted.
+fn narrow() -> TcpListener {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_io().build().expect("a runtime");
+    let _inside = runtime.enter();
+    let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
+    socket.bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a port");
+    let listener = socket.listen(0).expect("to listen").into_std().expect("a listener");
+    listener.set_nonblocking(false).expect("a listener");
+    listener
+}
+
 /// Accepts within the patience: a connection that never comes fails the test.
 fn accept(listener: &TcpListener, who: &str) -> TcpStream {
     listener.set_nonblocking(true).expect("a listener");
@@ -69,7 +85,13 @@
 
 impl Play {
     fn listener(&mut self, name: &str) -> String {
-        let listen = || TcpListener::bind("127.0.0.1:0").expect("a port");
+        let listen = || {
+            if name.starts_with('x') {
+                narrow()
+            } else {
+                TcpListener::bind("127.0.0.1:0").expect("a port")
+            }
+        };
         let listener = self.listeners.entry(name.to_owned()).or_insert_with(listen);
         listener.local_addr().expect("its address").to_string()
     }
@@ -85,6 +107,8 @@
         let mut child = Command::new(env!("CARGO_BIN_EXE_nickelflow"))
             .env_clear()
             .env("RELAY_CONFIG", &self.file)
+            // What has been decided is an event to wait for.
+            .env("NICKELFLOW_LOG", "info,nickelflow_daemon::core=debug")
             .stderr(Stdio::piped())
             .spawn()
             .expect("the program starts");
@@ -219,6 +243,19 @@
                     self.write(who, format!("{:x}\r\n{line}\n\r\n", line.len() + 1).as_bytes());
                 }
             }
+            (_, "crowds") => {
+                let address = self.listeners[who].local_addr().expect("its address");
+                while let Ok(stream) = TcpStream::connect_timeout(&address, CROWDED) {
+                    self.crowd.push(stream);
+                }
+            }
+            (_, "clears") => {
+                for stream in std::mem::take(&mut self.crowd) {
+                    let (own, accepted) =
+                        (stream.local_addr(), accept(&self.listeners[who], who).peer_addr());
+                    assert_eq!(own.ok(), accepted.ok(), "{who}: another came before");
+                }
+            }
             (_, "ends") => self.write(who, b"0\r\n\r\n"),
             (_, "closes") => self.stream(who).get_mut().shutdown(Shutdown::Both).expect("to close"),
             (_, "closed") => {
@@ -250,6 +287,7 @@
         listeners: HashMap::new(),
         streams: HashMap::new(),
         program: None,
+        crowd: vec![],
     };
     for block in text.split("--- ").skip(1) {
         let mut lines = block.lines().collect::<Vec<_>>();
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -7,8 +7,8 @@
 use std::sync::Arc;
 
 use nickelflow::{
-    Action, Dispatcher, Event, ListKind, Nanos, Outcome, Report, Request, RequestId, Rules, Settings,
-    SettingsError, WorkerId,
+    Action, Dispatcher, Event, ListKind, Membership, Nanos, Outcome, Report, Request, RequestId, Rules,
+    Settings, SettingsError, WorkerEntry, WorkerId,
 };
 
 use crate::instances::{Instance, Instances, Known};
@@ -143,6 +143,12 @@
         id: J,
         answer: Answer<R>,
     },
+    /// The attempt must not begin any more: its instance leaves, or nobody waits for it. If no byte of it has
+    /// gone out it ends as [`Outcome::NotSent`]; if one has, this changes nothing.
+    Withdraw {
+        id: J,
+        attempt: u32,
+    },
     /// Ask an instance for its load; one [`Input::Probed`] is wanted.
     Probe {
         instance: u32,
@@ -192,6 +198,8 @@
     /// Answered, or its client has gone.
     over: bool,
     attempts: Vec<Attempt>,
+    /// The instance that each went to.
+    instances: Vec<u32>,
     out: u32,
 }
 
@@ -210,6 +218,13 @@
     orders: Vec<Order<J, R>>,
 }
 
+/// Withdraws the attempts of a job that are out to certain instances.
+fn withdraw<J: Clone, R>(open: &Open<J>, from: impl Fn(u32) -> bool, orders: &mut Vec<Order<J, R>>) {
+    let attempts = open.attempts.iter().zip(&open.instances).enumerate();
+    let out = attempts.filter(|(_, (state, instance))| **state == Attempt::Out && from(**instance));
+    orders.extend(out.map(|(n, _)| Order::Withdraw { id: open.id.clone(), attempt: n as u32 }));
+}
+
 impl<J: Clone + Eq + Hash, A, R> Engine<J, A, R> {
     /// An engine that knows no instances yet. The seed is that of its random choices.
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
@@ -267,6 +282,7 @@
                     ListKind::Failed => Vec::new(),
                     _ => instances.into_iter().map(|instance| self.instances.entry(instance)).collect(),
                 };
+                self.leave(kind, &entries);
                 self.decide(Event::Workers { kind, entries });
             }
             Input::Job { id, job } => self.job(id, job)?,
@@ -276,6 +292,10 @@
                 let Some(open) = self.open.get_mut(&number).filter(|open| !open.over) else { return Ok(()) };
                 open.over = true;
                 self.decide(Event::ClientGone { request: RequestId(number) });
+                // What the module has called back is told to end already.
+                if let Some(open) = self.open.get(&number) {
+                    withdraw(open, |_| true, &mut self.orders);
+                }
                 self.forget(number);
             }
             Input::Progress { id, attempt } => {
@@ -305,6 +325,21 @@
         Ok(())
     }
 
+    /// What is on its way to instances that leave, or have left, must not begin there.
+    fn leave(&mut self, kind: ListKind, entries: &[WorkerEntry]) {
+        let entries = entries.iter().map(|entry| (entry.worker.0, entry.membership == Membership::Ready));
+        let ready: HashMap<u32, bool> = entries.collect();
+        // One that a list of changes leaves out stays.
+        let unlisted = match kind {
+            ListKind::Failed => return,
+            ListKind::Changes => true,
+            ListKind::Full | ListKind::Saved => false,
+        };
+        for open in self.open.values() {
+            withdraw(open, |n| !ready.get(&n).copied().unwrap_or(unlisted), &mut self.orders);
+        }
+    }
+
     fn job(&mut self, id: J, job: Job) -> Result<(), Misuse> {
         if self.numbers.contains_key(&id) {
             return Err(Misuse::JobOpen);
@@ -313,7 +348,10 @@
         self.next += 1;
         self.numbers.insert(id.clone(), number);
         let deadline = Some(job.deadline);
-        self.open.insert(number, Open { id, deadline, over: false, attempts: Vec::new(), out: 0 });
+        self.open.insert(
+            number,
+            Open { id, deadline, over: false, attempts: Vec::new(), instances: Vec::new(), out: 0 },
+        );
         self.decide(Event::Request(Request {
             id: RequestId(number),
             class: job.class,
@@ -404,6 +442,7 @@
         let attempt = open.attempts.len() as u32;
         let limit = if timeout == 0 { Nanos::MAX } else { self.now.saturating_add(timeout) };
         let until = open.deadline.map_or(limit, |deadline| deadline.min(limit));
+        open.instances.push(instance);
         if open.over || until <= self.now {
             // Over, or out of time: it is not sent at all.
             open.attempts.push(Attempt::Ended);
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -22,7 +22,9 @@
 //!   the latest soon after [`Execute::until`]. A second end of the same attempt changes nothing.
 //! - [`Order::Cancel`] names only an attempt that is out, at most once. It still wants its end, which may be
 //!   any outcome, for the cancel may have crossed it.
-//! - Nothing is ordered for a job after its answer but cancels.
+//! - [`Order::Withdraw`] names an attempt that is out when its instance is told to leave, or its client has
+//!   gone: it must not begin, and ends as it otherwise would if it has begun already.
+//! - Nothing is ordered for a job after its answer but cancels and withdrawals.
 //! - The same inputs at the same times, and the same seed, give the same orders, in any process.
 //! - A job is forgotten once it is answered (or its client gone) and all its attempts have ended: memory
 //!   follows the jobs and attempts that are open.
--- a/crates/engine/tests/promises.rs
+++ b/crates/engine/tests/promises.rs
@@ -113,6 +113,9 @@
                     assert!(self.out.contains(&(id, attempt)), "a cancel of what is not out");
                     assert!(self.cancelled.insert((id, attempt)), "a second cancel");
                 }
+                Order::Withdraw { id, attempt } => {
+                    assert!(self.out.contains(&(id, attempt)), "a withdrawal of what is not out");
+                }
                 Order::Answer { id, .. } => {
                     let (deadline, answers, gone) = self.jobs.get_mut(&id).expect("a job");
                     assert!(!*gone, "an answer to nobody");
--- a/crates/lab/src/world/schedulers.rs
+++ b/crates/lab/src/world/schedulers.rs
@@ -79,6 +79,8 @@
             Order::Cancel { id, attempt } => {
                 self.at(self.now, Ev::Back { id: AttemptId { job: id, attempt }, ending: Ending::CalledOff });
             }
+            // An attempt begins here as it is decided.
+            Order::Withdraw { .. } => {}
             Order::Answer { id, answer } => {
                 let answer = match answer {
                     Answer::Served(()) => Final::Served,
--- a/crates/simhost/src/instance.rs
+++ b/crates/simhost/src/instance.rs
@@ -79,6 +79,8 @@
                 Step::Route { id, runner: runner(*instance)?, max_wait_ns: until.saturating_sub(self.now) }
             }
             Order::Cancel { id, attempt } => Step::Revoke { id, seq_no: *attempt },
+            // In the simulator an attempt begins as it is decided.
+            Order::Withdraw { .. } => return None,
             Order::Answer { id, answer: Answer::Refused { retry_after } } => {
                 Step::Decline { id, pause_ns: *retry_after }
             }
