See a client leave whatever lies unread behind its request

Cause, in inlet.rs and hyper: between the parse of a head and the call of the service hyper looks for the end of the stream, and got the bytes behind the request with it. With anything in its buffer it reads no further, so that the end or reset of a client that had sent more than its request was never seen, and its job was sent on for nobody; a broken head behind a request even took the place of that request's answer.

Change: hyper gets no byte beyond a request before that is answered; meanwhile the connection's own task reads on for the end, keeps up to one head of what comes ahead of its turn, and forgets the rest together with the connection after its answer. For a chunked body this holds from the hand-over on.

Ruled out: a half closed stream (seen as before), a body that is not there yet (no job is made of it).

--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -251,6 +251,7 @@
                 Happened::Job { id, job: Facts { class, tenant, slots, memory, key, retry, deadline } }
             }
             Input::Gone(id) => {
+                debug!(job = id, "client gone");
                 if self.waiting.remove(&id).is_some() {
                     self.counters.client_gone.add();
                 }
--- a/crates/daemon/src/inlet.rs
+++ b/crates/daemon/src/inlet.rs
@@ -8,7 +8,7 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::task::{ready, Context, Poll};
+use std::task::{ready, Context, Poll, Waker};
 use std::time::{Duration, Instant};
 
 use bytes::{Buf, BytesMut};
@@ -48,6 +48,10 @@
     begun: bool,
     /// Whether a call is under way.
     busy: bool,
+    /// Whether all of a request has come to which there is no answer yet.
+    passed: bool,
+    /// Reads on once there is an answer.
+    reader: Option<Waker>,
     idle_since: Instant,
     /// Whether it has ever brought a request, and one that was a job.
     asked: bool,
@@ -75,6 +79,8 @@
             reading: Some(began),
             begun: false,
             busy: false,
+            passed: false,
+            reader: None,
             idle_since: began,
             asked: false,
             proven: false,
@@ -97,9 +103,10 @@
         Call(self.clone())
     }
 
-    /// It has brought a job.
+    /// It has brought a job, which is being handed in.
     pub fn prove(&self) {
-        self.state().proven = true;
+        let mut state = self.state();
+        (state.proven, state.passed) = (true, true);
     }
 
     pub fn busy(&self) -> bool {
@@ -170,13 +177,17 @@
 impl Drop for Call {
     fn drop(&mut self) {
         let mut state = self.0.state();
-        state.busy = false;
+        (state.busy, state.passed) = (false, false);
         state.idle_since = Instant::now();
+        state.reader.take().into_iter().for_each(Waker::wake);
     }
 }
 
-/// The stream of one client, as hyper gets to see it.
-pub struct Inlet {
+/// The stream of one client, as hyper gets to see it; its clones are the same stream.
+#[derive(Clone)]
+pub struct Inlet(Arc<Mutex<Intake>>);
+
+struct Intake {
     stream: TcpStream,
     visit: Arc<Visit>,
     buffer: BytesMut,
@@ -189,11 +200,48 @@
 
 impl Inlet {
     pub fn new(stream: TcpStream, visit: Arc<Visit>) -> Inlet {
-        Inlet { stream, visit, buffer: BytesMut::new(), pass: 0, looked: 0, ended: false }
+        let intake = Intake { stream, visit, buffer: BytesMut::new(), pass: 0, looked: 0, ended: false };
+        Inlet(Arc::new(Mutex::new(intake)))
+    }
+
+    fn intake(&self) -> MutexGuard<'_, Intake> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Ready once the client has gone while its job is under way. hyper cannot tell where anything lies unread
+    /// behind the request, and then reads no further.
+    pub fn poll_gone(&self, cx: &mut Context) -> Poll<()> {
+        let mut intake = self.intake();
+        while !intake.ended && intake.passed() {
+            if ready!(intake.fill(cx)).is_err() {
+                intake.ended = true;
+            }
+            if intake.buffer.len() > LARGEST_HEAD {
+                // So much ahead of its turn is no request of a client that waits for answers.
+                (intake.buffer, intake.looked) = (BytesMut::new(), 0);
+                intake.visit.state().last = true;
+            }
+        }
+        if intake.ended && intake.passed() {
+            Poll::Ready(())
+        } else {
+            Poll::Pending
+        }
     }
 
-    pub fn into_stream(self) -> TcpStream {
-        self.stream
+    /// Reads and forgets; how much, or 0 at the end.
+    pub fn poll_discard(&self, cx: &mut Context) -> Poll<io::Result<usize>> {
+        let mut intake = self.intake();
+        intake.buffer.clear();
+        ready!(intake.fill(cx))?;
+        Poll::Ready(Ok(intake.buffer.len()))
+    }
+}
+
+impl Intake {
+    /// Whether all of a request has come to which there is no answer yet.
+    fn passed(&self) -> bool {
+        self.visit.state().passed
     }
 
     /// Reads once from the stream.
@@ -278,8 +326,13 @@
 
 impl AsyncRead for Inlet {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context, out: &mut ReadBuf) -> Poll<io::Result<()>> {
-        let inlet = self.get_mut();
+        let inlet = &mut *self.intake();
         loop {
+            if inlet.passed() {
+                // What comes now is for the next call, and an end is for `poll_gone` to see.
+                inlet.visit.state().reader = Some(cx.waker().clone());
+                return Poll::Pending;
+            }
             if inlet.pass == 0 {
                 inlet.head();
             }
@@ -297,7 +350,7 @@
                 inlet.looked = 0;
                 if inlet.pass == 0 {
                     let mut state = inlet.visit.state();
-                    (state.reading, state.begun) = (None, false);
+                    (state.reading, state.begun, state.passed) = (None, false, true);
                     state.idle_since = Instant::now();
                 }
                 if inlet.buffer.is_empty() {
@@ -314,27 +367,27 @@
 }
 
 impl AsyncWrite for Inlet {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, bytes)
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.intake().stream).poll_write(cx, bytes)
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context,
         bytes: &[io::IoSlice],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bytes)
+        Pin::new(&mut self.intake().stream).poll_write_vectored(cx, bytes)
     }
 
     fn is_write_vectored(&self) -> bool {
         true
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.intake().stream).poll_flush(cx)
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.intake().stream).poll_shutdown(cx)
     }
 }
--- a/crates/daemon/src/places.rs
+++ b/crates/daemon/src/places.rs
@@ -13,7 +13,7 @@
 use hyper::StatusCode;
 use hyper_util::rt::TokioIo;
 use hyper_util::service::TowerToHyperService;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::time::{sleep_until, timeout};
@@ -156,11 +156,11 @@
 /// told to end, an idle one closes at once, which the protocol allows, and a busy one after its answer.
 async fn connection(stream: TcpStream, front: Front, place: Place) {
     let (shutdown, counters, visit) = (front.shutdown.clone(), front.counters.clone(), front.visit.clone());
-    let inlet = TokioIo::new(Inlet::new(stream, visit.clone()));
+    let mut inlet = Inlet::new(stream, visit.clone());
     let mut connection = http1::Builder::new()
         .max_buf_size(LARGEST_HEAD)
         .header_read_timeout(None)
-        .serve_connection(inlet, TowerToHyperService::new(front));
+        .serve_connection(TokioIo::new(inlet.clone()), TowerToHyperService::new(front));
     let mut told = pin!(async {
         tokio::select! {
             () = visit.shed.notified() => {}
@@ -176,6 +176,10 @@
             }
             return Poll::Ready(false);
         }
+        if inlet.poll_gone(cx).is_ready() {
+            debug!("client gone");
+            return Poll::Ready(false);
+        }
         if last_by.is_none() && told.as_mut().poll(cx).is_ready() {
             last_by = Some(Instant::now() + LAST_HEAD);
         }
@@ -196,7 +200,8 @@
         timer.as_mut().poll(cx).map(|()| true)
     })
     .await;
-    let mut stream = connection.into_parts().io.into_inner().into_stream();
+    // With it goes what it was serving.
+    drop(connection);
     let refusal = match (late, visit.half()) {
         (true, true) if visit.shedding() => Some(CROWDED),
         (true, true) => Some(TOO_SLOW),
@@ -206,13 +211,13 @@
         if let Some(refusal) = refusal {
             counters.rejected.add();
             debug!(status = refusal.0.as_u16(), why = refusal.1, "nack");
-            stream.write_all(&words(refusal)).await?;
+            inlet.write_all(&words(refusal)).await?;
         }
-        stream.shutdown().await?;
+        inlet.shutdown().await?;
         // Another waits for the place of one that is shed.
-        let (mut space, mut left) = (vec![0; 4 << 10], if visit.shedding() { 0 } else { DRAINED });
+        let mut left = if visit.shedding() { 0 } else { DRAINED };
         while left > 0 {
-            match stream.read(&mut space).await? {
+            match poll_fn(|cx| inlet.poll_discard(cx)).await? {
                 0 => break,
                 n => left = left.saturating_sub(n),
             }
