Take no file on SIGHUP that is another scheduler's or deployment's

Checked: discovery_again in config.rs read any file that is sound as a whole, and took its discovery. A file of another customer, sound by itself, moved the watch to that customer's list, and with it instances of theirs. Change: the file must bear the running scheduler's name, and share a name with it among classes, tenants, zones and kinds; a class or tenant more is no other deployment. The log says what differs.

--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -9,6 +9,7 @@
 use crate::name_table::{self, List, Words};
 
 pub struct Config {
+    pub origin: Origin,
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
@@ -22,6 +23,31 @@
     pub known: List,
 }
 
+/// What tells whose file it is: the names in it.
+#[derive(Clone)]
+pub struct Origin {
+    name: Option<String>,
+    names: [(&'static str, Vec<String>); 4],
+}
+
+impl Origin {
+    /// Whether a later file is of the same scheduler and deployment, or what shows that it is not.
+    fn same(&self, later: &Origin) -> Result<(), String> {
+        if let (Some(name), Some(other)) = (&self.name, &later.name) {
+            if name != other {
+                return Err(format!("name: the file is that of {other}, not of {name}"));
+            }
+        }
+        for ((what, ours), (_, theirs)) in self.names.iter().zip(&later.names) {
+            let foreign = !ours.iter().any(|name| theirs.contains(name));
+            if foreign && (!ours.is_empty() || !theirs.is_empty()) {
+                return Err(format!("settings.{what}: shares no name with this deployment's"));
+            }
+        }
+        Ok(())
+    }
+}
+
 /// What stands on the sockets for the module's numbers.
 pub struct Names {
     pub classes: Vec<String>,
@@ -81,7 +107,21 @@
             return Err(why.clone());
         }
         let (caps, contract) = (settings.get("caps")?, settings.get("contract")?);
+        let names = Names {
+            classes: named_in(settings.opt("classes")?)?,
+            tenants: named_in(settings.opt("customers")?)?,
+        };
+        let origin = Origin {
+            name: root.opt("name")?.map(|name| name.text().map(str::to_owned)).transpose()?,
+            names: [
+                ("classes", names.classes.clone()),
+                ("customers", names.tenants.clone()),
+                ("zones", words.zones.clone()),
+                ("kinds", words.kinds.clone()),
+            ],
+        };
         Ok(Config {
+            origin,
             name: match env("RELAY_NAME") {
                 Some(name) => name,
                 None => root.get("name")?.text()?.to_owned(),
@@ -91,10 +131,7 @@
             seed: u64::from_str_radix(seed.text()?, 16)
                 .map_err(|_| seed.error("must be a hexadecimal number"))?,
             sockets: sockets.unwrap_or(1024),
-            names: Names {
-                classes: named_in(settings.opt("classes")?)?,
-                tenants: named_in(settings.opt("customers")?)?,
-            },
+            names,
             links: Links {
                 connect: Duration::from_nanos(time(&caps, "connect_timeout_ns", 1_000_000_000)?),
                 idle: Duration::from_nanos(time(&caps, "conn_idle_ns", 10_000_000_000)?),
@@ -108,10 +145,12 @@
 }
 
 /// What a running scheduler takes from its file when told to read it again: where discovery is. The file must
-/// be sound as a whole, and goes before `RELAY_DISCOVERY`, which is as old as the process.
-pub fn discovery_again(env: impl Fn(&str) -> Option<String>) -> Result<SocketAddr, String> {
+/// be sound as a whole and of the same deployment, and goes before `RELAY_DISCOVERY`, which is as old as the process.
+pub fn discovery_again(env: impl Fn(&str) -> Option<String>, running: &Origin) -> Result<SocketAddr, String> {
     let env = |name: &str| env(name).filter(|_| name != "RELAY_DISCOVERY");
-    Config::load(env).map(|config| config.discovery)
+    let later = Config::load(env)?;
+    running.same(&later.origin)?;
+    Ok(later.discovery)
 }
 
 fn time(object: &Field, name: &str, default: u64) -> Result<u64, String> {
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -41,7 +41,8 @@
     let longest = config.settings.classes.iter().map(|class| class.deadline).max().unwrap_or_default();
     let (trigger, stages) = shutdown::shutdown(Terms::new(Duration::from_nanos(longest)));
     let (discovery, moved) = watch::channel(config.discovery);
-    let read_again = || match config::discovery_again(env) {
+    let origin = config.origin.clone();
+    let read_again = || match config::discovery_again(env, &origin) {
         Ok(address) => {
             info!(discovery = %address, "configuration read again");
             discovery.send_if_modified(|old| std::mem::replace(old, address) != address);
--- a/crates/daemon/tests/exchanges.rs
+++ b/crates/daemon/tests/exchanges.rs
@@ -7,7 +7,7 @@
 //! connections to an instance whose name begins with x do not come up in between). The
 //! program: `config` (replacements `OLD -> NEW` in config.json), `knows` (instances), `stops` (SIGTERM),
 //! `prints` (SIGUSR1), `rereads` (a new file and
-//! SIGHUP: the name of a new discovery, or the file as it stands), `logs` (waits for a line like it), `exits` (with that status).
+//! SIGHUP: the name of a new discovery and replacements for this once, or the file as it stands), `logs` (waits for a line like it), `exits` (with that status).
 
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -123,6 +123,14 @@
         self.program = Some((child, lines, if first.contains("listen=") { address } else { first }));
     }
 
+    fn replace(&mut self, lines: &[&str]) {
+        for line in lines {
+            let (old, new) = line.split_once(" -> ").expect("OLD -> NEW");
+            assert!(self.config.contains(old), "the config has no {old:?}");
+            self.config = self.config.replace(old, new);
+        }
+    }
+
     fn write_config(&mut self, discovery: &str) {
         let known = self.known.clone().into_iter().map(|name| self.entry(&name));
         let known = known.collect::<Vec<_>>().join(",");
@@ -202,14 +210,7 @@
 
     fn block(&mut self, who: &str, verb: &str, lines: &[&str]) {
         match (who, verb) {
-            ("program", "config") => {
-                for line in lines {
-                    let (old, new) = line.split_once(" -> ").expect("OLD -> NEW");
-                    assert!(self.config.contains(old), "the config has no {old:?}");
-                    self.config = self.config.replace(old, new);
-                }
-                return;
-            }
+            ("program", "config") => return self.replace(lines),
             ("program", "knows") => return self.known = lines.iter().map(|l| (*l).to_owned()).collect(),
             _ => self.start(),
         }
@@ -219,7 +220,12 @@
             ("program", "rereads") => {
                 match lines[0].strip_prefix('{') {
                     Some(_) => std::fs::write(&self.file, lines[0]).expect("a config file"),
-                    None => self.write_config(lines[0]),
+                    None => {
+                        let own = self.config.clone();
+                        self.replace(&lines[1..]);
+                        self.write_config(lines[0]);
+                        self.config = own;
+                    }
                 }
                 self.signal("-HUP");
             }
