Read lists that come indented, in part, or from elsewhere, without losing a leave

Checked, in name_table.rs: a list was one line, though lists may come indented: each line of such a one was broken, the watch ended and was asked for anew without end.

Change: an object is taken once its brackets are closed; a heartbeat within it or another object shows that its end never came. Test: watch_odd, failing on the program of before.

--- a/crates/daemon/src/json.rs
+++ b/crates/daemon/src/json.rs
@@ -8,23 +8,38 @@
 /// the program, which no catch can prevent.
 const DEEPEST: usize = 32;
 
+/// How deep brackets are nested after the bytes so far.
+#[derive(Default)]
+pub struct Nesting {
+    depth: usize,
+    quoted: bool,
+    escaped: bool,
+}
+
+impl Nesting {
+    /// Takes further bytes; whether all brackets are closed after them.
+    pub fn closed(&mut self, bytes: &[u8]) -> Result<bool, String> {
+        for byte in bytes {
+            match byte {
+                _ if self.escaped => self.escaped = false,
+                b'\\' if self.quoted => self.escaped = true,
+                b'"' => self.quoted = !self.quoted,
+                b'[' | b'{' if !self.quoted => self.depth += 1,
+                b']' | b'}' if !self.quoted => self.depth = self.depth.saturating_sub(1),
+                _ => {}
+            }
+            if self.depth > DEEPEST {
+                return Err(format!("nested deeper than {DEEPEST}"));
+            }
+        }
+        Ok(self.depth == 0)
+    }
+}
+
 /// Decodes one value.
 pub fn decode(bytes: &[u8]) -> Result<JsonValue, String> {
     let text = std::str::from_utf8(bytes).map_err(|_| "not UTF-8".to_owned())?;
-    let (mut depth, mut quoted, mut escaped) = (0usize, false, false);
-    for byte in text.bytes() {
-        match byte {
-            _ if escaped => escaped = false,
-            b'\\' if quoted => escaped = true,
-            b'"' => quoted = !quoted,
-            b'[' | b'{' if !quoted => depth += 1,
-            b']' | b'}' if !quoted => depth = depth.saturating_sub(1),
-            _ => {}
-        }
-        if depth > DEEPEST {
-            return Err(format!("nested deeper than {DEEPEST}"));
-        }
-    }
+    Nesting::default().closed(bytes)?;
     text.parse::<JsonValue>().map_err(|e| format!("not JSON: {e}"))
 }
 
--- a/crates/daemon/src/name_table.rs
+++ b/crates/daemon/src/name_table.rs
@@ -4,7 +4,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::Full;
 use hyper::{header, Request, StatusCode};
 use nickelflow_engine::{ListKind, Membership};
@@ -98,6 +98,11 @@
         }
     }
     let snapshot = list.opt("snapshot")?.map_or(Ok(false), |s| s.flag())?;
+    let unlike = |e: &Entry| e.zone as usize == words.zones.len() && e.kind as usize == words.kinds.len();
+    let named = !words.zones.is_empty() && !words.kinds.is_empty() && !entries.is_empty();
+    if snapshot && named && entries.iter().all(unlike) {
+        return Err(list.error("names no zone and no type of the settings: it is another deployment's"));
+    }
     Ok(List { index: list.get("index")?.whole()?, snapshot, entries, skipped })
 }
 
@@ -111,12 +116,16 @@
         // One that the settings do not name is unlike all that they do.
         Ok(words.iter().position(|word| word == text).unwrap_or(words.len()) as u32)
     };
+    // Nothing new goes to one that leaves: that it does must not be missed for its address.
+    let nowhere = SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0));
     let address = match (field.opt("address")?, membership) {
-        (Some(address), _) => {
-            address.text()?.parse().map_err(|_| address.error("must be an address with a port"))?
-        }
-        (None, Membership::Gone) => SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0)),
-        (None, _) => return Err(field.error("has no address")),
+        (Some(address), membership) => match (address.text()?.parse(), membership) {
+            (Ok(address), _) => address,
+            (Err(_), Membership::Ready) => return Err(address.error("must be an address with a port")),
+            (Err(_), _) => nowhere,
+        },
+        (None, Membership::Ready) => return Err(field.error("has no address")),
+        (None, _) => nowhere,
     };
     let since: u64 = field.opt("since_ms")?.map_or(Ok(0), |since| since.whole())?;
     Ok(Entry {
@@ -142,6 +151,39 @@
     pub asked: mpsc::UnboundedReceiver<()>,
 }
 
+/// One object of discovery's, as its lines come: it may be indented over several.
+#[derive(Default)]
+struct Object {
+    bytes: BytesMut,
+    nesting: json::Nesting,
+}
+
+impl Object {
+    /// Takes a line; the object, if it is whole with it.
+    fn take(&mut self, line: &[u8]) -> Result<Option<BytesMut>, String> {
+        let blank = line.iter().all(u8::is_ascii_whitespace);
+        if blank && self.bytes.is_empty() {
+            return Ok(None);
+        }
+        // Both show that the rest of this one never came; waited for, it would hide all that follows.
+        let another = || line.len() > 1 && line[0] == b'{' && is_list(line);
+        if blank || !self.bytes.is_empty() && another() {
+            return Err("an object without its end".to_owned());
+        }
+        self.bytes.extend_from_slice(line);
+        self.bytes.extend_from_slice(b"\n");
+        if self.bytes.len() > LONGEST_LINE {
+            return Err(format!("an object of more than {LONGEST_LINE} bytes"));
+        }
+        let closed = self.nesting.closed(line)?;
+        Ok(closed.then(|| std::mem::take(self).bytes))
+    }
+}
+
+fn is_list(line: &[u8]) -> bool {
+    json::decode(line).is_ok_and(|value| Field::root(&value).get("endpoints").is_ok())
+}
+
 /// How a watch was lost.
 #[derive(Clone, Copy, PartialEq)]
 enum Loss {
@@ -233,6 +275,7 @@
         let since = Instant::now();
         let ended = || if since.elapsed() < HEARTBEAT { Loss::Failed } else { Loss::Ended };
         let mut lines = Lines::new(answer.into_body(), LONGEST_LINE);
+        let mut object = Object::default();
         loop {
             let line = match timeout(self.pace.silent(), lines.next()).await {
                 Ok(Ok(Some(line))) => line,
@@ -240,21 +283,22 @@
                 Ok(Err(why)) => return (ended(), why),
                 Err(_) => return (Loss::Silent, "silent for too long".to_owned()),
             };
-            if line.iter().all(u8::is_ascii_whitespace) {
-                continue;
-            }
             // A broken line may have held changes: the next watch asks for all since the last good one.
-            let list = json::decode(&line).and_then(|value| list(&Field::root(&value), &self.words));
-            let list = match list {
-                Ok(list) => list,
+            let list = match object.take(&line).and_then(|whole| match whole {
+                Some(bytes) => list(&Field::root(&json::decode(&bytes)?), &self.words).map(Some),
+                None => Ok(None),
+            }) {
+                Ok(Some(list)) => list,
+                Ok(None) => continue,
                 Err(why) => return (ended(), format!("broken line: {why}")),
             };
             for why in &list.skipped {
                 warn!(why, "entry left out");
             }
             *index = list.index;
-            // Only a snapshot is complete: what a list of changes leaves out has not gone.
-            let kind = if list.snapshot { ListKind::Full } else { ListKind::Changes };
+            // Only a whole snapshot is complete: what else a list leaves out has not gone.
+            let whole = list.snapshot && list.skipped.is_empty();
+            let kind = if whole { ListKind::Full } else { ListKind::Changes };
             self.tell(kind, list.entries);
         }
     }
