Give jobs that must not run twice connections of their own, and take no line without its id

Checked, in execution.rs: a kept connection that its instance closes or resets just as it is used ends the job as one that may have run, and such a job then fails for good; a second answer that comes late can be read as the next job's, and a late 503 with Not-Started would even have it sent a second time. A line without an id was taken for this job's. Change: a job of a class that must not be repeated goes out on a new connection, and a line must name its job.

Left open: a head without lines, 503 with Not-Started, that comes late on a kept connection for jobs that may be repeated.

--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -14,6 +14,7 @@
 
 use bytes::Bytes;
 use hyper::header::HeaderValue;
+use nickelflow::Effect;
 use nickelflow_engine::{Engine, Input as Happened, Instance, Job as Facts, Nanos, Order as Ordered};
 use nickelflow_engine::{ListKind, Outcome, Report, Rules, Settings, SettingsError};
 use tokio::sync::{mpsc, oneshot, watch};
@@ -139,6 +140,8 @@
     pub until: Instant,
     pub stop: watch::Receiver<Stop>,
     pub under: Option<Under>,
+    /// The job must never run twice.
+    pub once: bool,
     pub parcel: Arc<P>,
 }
 
@@ -189,11 +192,14 @@
 /// What waits for an answer: the way to give it, and what an execution sends.
 struct Waiting<P> {
     parcel: Arc<P>,
+    once: bool,
     answer: oneshot::Sender<Answer>,
 }
 
 pub struct Core<P, F> {
     engine: Engine<u64, SocketAddr, Bytes>,
+    /// For each class whether its jobs must never run twice.
+    once: Vec<bool>,
     clock: Clock,
     carry_out: F,
     counters: Shared,
@@ -206,7 +212,9 @@
 
 impl<P, F: FnMut(Order<P>)> Core<P, F> {
     pub fn new(settings: Settings, seed: u64, counters: Shared, carry_out: F) -> Result<Self, SettingsError> {
+        let once = settings.classes.iter().map(|class| class.effect == Effect::Unsafe).collect();
         Ok(Core {
+            once,
             engine: Engine::new(settings, seed)?,
             clock: Clock::start(),
             carry_out,
@@ -245,7 +253,9 @@
             Input::Job(id, job, answer) => {
                 self.counters.taken.add();
                 let Job { class, tenant, slots, memory, key, retry, deadline, parcel } = job;
-                self.waiting.insert(id, Waiting { parcel: Arc::new(parcel), answer });
+                // As the module has it: a class that is out of range counts as the last.
+                let once = self.once.get(class as usize).or(self.once.last()).copied().unwrap_or(false);
+                self.waiting.insert(id, Waiting { parcel: Arc::new(parcel), once, answer });
                 debug!(job = id, tenant, key, slots, memory, "taken");
                 let deadline = self.clock.at(deadline);
                 Happened::Job { id, job: Facts { class, tenant, slots, memory, key, retry, deadline } }
@@ -364,6 +374,7 @@
             until: self.clock.instant(until),
             stop: stopped,
             under,
+            once: waiting.once,
             parcel: waiting.parcel.clone(),
         }));
     }
--- a/crates/daemon/src/execution.rs
+++ b/crates/daemon/src/execution.rs
@@ -72,6 +72,7 @@
     until: Instant,
     stop: watch::Receiver<Stop>,
     under: Option<Under>,
+    once: bool,
 }
 
 /// Returns once an attempt may go no further than that.
@@ -111,8 +112,8 @@
     /// Makes one attempt and reports its one end, whichever comes first of its own outcome, the module's
     /// cancel and its time running out.
     pub async fn execute(self: Arc<Self>, execute: Execute<Parcel>) {
-        let Execute { job, attempt, address, until, stop, under, parcel } = execute;
-        let made = Attempt { number: (job, attempt), address, until, stop: stop.clone(), under };
+        let Execute { job, attempt, address, until, stop, under, once, parcel } = execute;
+        let made = Attempt { number: (job, attempt), address, until, stop: stop.clone(), under, once };
         let (end, tail) = tokio::select! {
             // An end that crosses the cancel counts: what it tells is known.
             biased;
@@ -127,8 +128,10 @@
     }
 
     async fn attempt(&self, made: Attempt, parcel: &Parcel) -> (End, Option<(Lines, Lease)>) {
-        let Attempt { number: (job, attempt), address, until, stop, under } = made;
-        let mut fresh = false;
+        let Attempt { number: (job, attempt), address, until, stop, under, once } = made;
+        // A kept connection may be closed just as it is used, or hold a late answer to what went before; a job
+        // that must not run twice would fail for the one and might run twice for the other.
+        let mut fresh = once;
         let (mut lease, answer) = loop {
             // Whatever came in while a place or the connection was waited for is heeded before the first byte:
             // a cancel, the instance's leave, the client's. From here to the write nothing is waited for.
@@ -419,8 +422,8 @@
         let value = json::decode(line)?;
         let object: &HashMap<String, JsonValue> = value.get().ok_or("not an object")?;
         let text = |name: &str| object.get(name).and_then(|v| v.get::<String>());
-        if text("id").is_some_and(|id| id.as_bytes() != request_id) {
-            return Err("it is of another request".to_owned());
+        if text("id").is_none_or(|id| id.as_bytes() != request_id) {
+            return Err("it is not of this request".to_owned());
         }
         let mut end = match text("state").map(String::as_str) {
             Some("started" | "running") => return Ok(State::Going),
