Order withdrawals by their jobs, so that the same inputs give the same orders

Change: by job number. Test: withdrawals_come_in_the_order_of_their_jobs, seen failing with the sort taken out.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -335,7 +335,10 @@
             ListKind::Changes => true,
             ListKind::Full | ListKind::Saved => false,
         };
-        for open in self.open.values() {
+        // In the order of their numbers: the same inputs give the same orders, in any process.
+        let mut jobs: Vec<_> = self.open.iter().collect();
+        jobs.sort_unstable_by_key(|(number, _)| **number);
+        for (_, open) in jobs {
             withdraw(open, |n| !ready.get(&n).copied().unwrap_or(unlisted), &mut self.orders);
         }
     }
--- a/crates/engine/tests/promises.rs
+++ b/crates/engine/tests/promises.rs
@@ -334,3 +334,38 @@
     assert_eq!(hash(b""), 0xcbf2_9ce4_8422_2325);
     assert_eq!(hash(b"foobar"), 0x8594_4171_f739_67e8);
 }
+
+#[test]
+fn withdrawals_come_in_the_order_of_their_jobs() {
+    let settings = Settings { can_probe: false, ..settings(Effect::Safe) };
+    let mut engine = Engine::<u64, (), ()>::new(settings, 1).expect("sound settings");
+    let mut orders = Vec::new();
+    let mut listed = |engine: &mut Engine<u64, (), ()>, membership| {
+        let instance = Instance {
+            name: "a".to_owned(),
+            address: (),
+            zone: 0,
+            kind: 0,
+            cell: 0,
+            membership,
+            weight: 1.0,
+            started: None,
+        };
+        let listed = Input::Listed { kind: ListKind::Full, instances: vec![instance] };
+        orders.clear();
+        engine.handle(1, listed, &mut orders).expect("a list");
+        orders
+            .iter()
+            .filter_map(|o| if let Order::Withdraw { id, .. } = o { Some(*id) } else { None })
+            .collect()
+    };
+    let none: Vec<u64> = listed(&mut engine, Membership::Ready);
+    assert!(none.is_empty());
+    let job =
+        Job { class: 0, tenant: None, slots: 0.01, memory: 0.0, key: None, retry: false, deadline: 1 << 40 };
+    for id in 0..40 {
+        engine.handle(1, Input::Job { id, job: job.clone() }, &mut Vec::new()).expect("a job");
+    }
+    let withdrawn: Vec<u64> = listed(&mut engine, Membership::Draining);
+    assert!(withdrawn.len() > 10 && withdrawn.is_sorted(), "{withdrawn:?}");
+}
