Bound when a keyed repeat may be written, up to its last byte, by the window of the first

Cause, read and then forced: Class::drops_repeat (interface.rs) compared the window with the moment of the decision. The rule counts when the last byte arrives; in between lie the core's queue, a permit, a connect of up to its limit, a process that stands still. Nothing in execution.rs looked at the window again. Also found: the group of the earlier worker was looked up in the list as it is now; a name taken over by a worker of another group took repeats that the one before never saw. Change: the module says with each further attempt until when it may be written: the window from the decision on the first, less what a connection may take (connect_timeout_ns, a quarter of the window at most) for the way that is left. The daemon gives up at that moment whatever has not been written whole: in the wait for a permit or connect, right after it, and in the stream, before each write. Such an attempt ends as never sent. A request whose window is over is answered at once instead of being held. The lapse of agreed rules goes the same way. Both groups, then and now, must be the repeat's.

--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -238,6 +238,7 @@
         parallel_tries: flag(&caps, "parallel_tries")?,
         max_attempts: caps.opt("most_tries")?.map_or(Ok(1), |tries| tries.whole())?,
         max_retry_after: time(&caps, "max_retry_after_ns", 0)?,
+        connect: time(&caps, "connect_timeout_ns", 1_000_000_000)?,
         resolution: time(settings, "resolution_ns", 1_000_000)?,
     })
 }
--- a/crates/daemon/src/connection.rs
+++ b/crates/daemon/src/connection.rs
@@ -6,9 +6,9 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::task::{Context, Poll};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::{Buf, Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
@@ -19,13 +19,33 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::AbortHandle;
+use tokio::time::sleep_until;
 
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
-    written: Arc<AtomicU64>,
+    out: Arc<Out>,
     driver: AbortHandle,
 }
 
+/// What goes out on a connection.
+#[derive(Default)]
+struct Out {
+    /// Bytes that the kernel has taken.
+    written: AtomicU64,
+    /// Nothing more is handed to it after this.
+    by: Mutex<Option<Instant>>,
+}
+
+impl Out {
+    fn by(&self) -> std::sync::MutexGuard<'_, Option<Instant>> {
+        self.by.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn late(&self) -> bool {
+        self.by().is_some_and(|by| by <= Instant::now())
+    }
+}
+
 /// Dropping a connection closes it, whatever was on it: that is how an attempt is given up.
 impl Drop for Connection {
     fn drop(&mut self) {
@@ -52,7 +72,7 @@
 /// Why no answer came, and whether the request's last byte had been written by then.
 pub struct Broken {
     pub written: Written,
-    pub why: hyper::Error,
+    pub why: String,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -60,6 +80,8 @@
     Nothing,
     Part,
     Whole,
+    /// Not all of it, and what is left must not be any more.
+    Late,
 }
 
 impl Connection {
@@ -69,14 +91,14 @@
             let socket = socket.map_err(|e| format!("socket: {e}"))?;
             let stream = socket.connect(address).await.map_err(|e| format!("connect: {e}"))?;
             stream.set_nodelay(true).map_err(|e| e.to_string())?;
-            let written = Arc::<AtomicU64>::default();
-            let io = TokioIo::new(Counted { stream, written: written.clone() });
+            let out = Arc::<Out>::default();
+            let io = TokioIo::new(Counted { stream, out: out.clone() });
             let (sender, connection) = handshake(io).await.map_err(|e| e.to_string())?;
             let driver = tokio::spawn(async move {
                 // What ends it also ends the request on it, which tells why.
                 let _ = connection.await;
             });
-            Ok(Connection { sender, written, driver: driver.abort_handle() })
+            Ok(Connection { sender, out, driver: driver.abort_handle() })
         };
         match tokio::time::timeout(limit, open).await {
             Ok(opened) => opened.map_err(Unconnected::Refused),
@@ -94,19 +116,41 @@
         self.sender.ready().await.is_ok()
     }
 
-    pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Broken> {
-        let (whole, before) = (size(&request), self.written.load(Ordering::Relaxed));
-        match self.sender.send_request(request).await {
-            Ok(response) => Ok(response),
-            Err(why) => {
-                let written = match self.written.load(Ordering::Relaxed) - before {
-                    0 => Written::Nothing,
-                    n if n < whole => Written::Part,
-                    _ => Written::Whole,
-                };
-                Err(Broken { written, why })
+    /// Sends a request, of which no byte is written any more from `by` on: where that keeps some of it back, the request
+    /// has not run, and the connection must be dropped. What was whole by then is waited for on.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        by: Option<Instant>,
+    ) -> Result<Response<Incoming>, Broken> {
+        let (whole, out) = (size(&request), self.out.clone());
+        let before = out.written.load(Ordering::Relaxed);
+        let written = || out.written.load(Ordering::Relaxed) - before;
+        *out.by() = by;
+        let overdue = async {
+            match by {
+                Some(by) => sleep_until(by.into()).await,
+                None => std::future::pending().await,
             }
-        }
+            if written() >= whole {
+                std::future::pending::<()>().await;
+            }
+        };
+        let why = tokio::select! {
+            biased;
+            answer = self.sender.send_request(request) => match answer {
+                Ok(answer) => return Ok(answer),
+                Err(why) => why.to_string(),
+            },
+            () = overdue => "not written in time".to_owned(),
+        };
+        let written = match written() {
+            n if n >= whole => Written::Whole,
+            _ if out.late() => Written::Late,
+            0 => Written::Nothing,
+            _ => Written::Part,
+        };
+        Err(Broken { written, why })
     }
 }
 
@@ -118,16 +162,23 @@
     (line + headers + 2) as u64 + body
 }
 
-/// A stream that counts the bytes the kernel has taken from it.
+/// A stream that counts the bytes the kernel has taken from it, and looks at the time before it hands them over.
 struct Counted {
     stream: TcpStream,
-    written: Arc<AtomicU64>,
+    out: Arc<Out>,
 }
 
 impl Counted {
+    fn in_time(&self) -> io::Result<()> {
+        if self.out.late() {
+            return Err(io::Error::new(io::ErrorKind::TimedOut, "not written in time"));
+        }
+        Ok(())
+    }
+
     fn count(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         if let Poll::Ready(Ok(n)) = written {
-            self.written.fetch_add(n as u64, Ordering::Relaxed);
+            self.out.written.fetch_add(n as u64, Ordering::Relaxed);
         }
         written
     }
@@ -141,6 +192,7 @@
 
 impl AsyncWrite for Counted {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
+        self.in_time()?;
         let written = Pin::new(&mut self.stream).poll_write(cx, buf);
         self.count(written)
     }
@@ -150,6 +202,7 @@
         cx: &mut Context,
         bufs: &[IoSlice],
     ) -> Poll<io::Result<usize>> {
+        self.in_time()?;
         let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
         self.count(written)
     }
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -138,6 +138,8 @@
     pub attempt: u32,
     pub address: SocketAddr,
     pub until: Instant,
+    /// No byte of it may be written from then on.
+    pub send_by: Option<Instant>,
     pub stop: watch::Receiver<Stop>,
     pub under: Option<Under>,
     /// The job must never run twice.
@@ -354,7 +356,7 @@
     }
 
     fn execute(&mut self, execute: nickelflow_engine::Execute<u64>) {
-        let nickelflow_engine::Execute { id, attempt, instance, until } = execute;
+        let nickelflow_engine::Execute { id, attempt, instance, until, send_by } = execute;
         let (Some(waiting), Some(known)) = (self.waiting.get(&id), self.engine.instance(instance)) else {
             warn!(job = id, instance, "the engine names what the core does not know");
             return;
@@ -372,6 +374,7 @@
             attempt,
             address: known.address,
             until: self.clock.instant(until),
+            send_by: (send_by != Nanos::MAX).then(|| self.clock.instant(send_by)),
             stop: stopped,
             under,
             once: waiting.once,
--- a/crates/daemon/src/execution.rs
+++ b/crates/daemon/src/execution.rs
@@ -72,6 +72,8 @@
     until: Instant,
     stop: watch::Receiver<Stop>,
     under: Option<Under>,
+    /// No byte of it is written from then on.
+    by: Option<Instant>,
     once: bool,
 }
 
@@ -112,8 +114,10 @@
     /// Makes one attempt and reports its one end, whichever comes first of its own outcome, the module's
     /// cancel and its time running out.
     pub async fn execute(self: Arc<Self>, execute: Execute<Parcel>) {
-        let Execute { job, attempt, address, until, stop, under, once, parcel } = execute;
-        let made = Attempt { number: (job, attempt), address, until, stop: stop.clone(), under, once };
+        let Execute { job, attempt, address, until, send_by, stop, under, once, parcel } = execute;
+        let lapses = under.as_ref().and_then(|under| under.lapses);
+        let by = [send_by, lapses].into_iter().flatten().min();
+        let made = Attempt { number: (job, attempt), address, until, stop: stop.clone(), under, by, once };
         let (end, tail) = tokio::select! {
             // An end that crosses the cancel counts: what it tells is known.
             biased;
@@ -128,7 +132,9 @@
     }
 
     async fn attempt(&self, made: Attempt, parcel: &Parcel) -> (End, Option<(Lines, Lease)>) {
-        let Attempt { number: (job, attempt), address, until, stop, under, once } = made;
+        let Attempt { number: (job, attempt), address, until, stop, under, by, once } = made;
+        // What is not written by then is given up while it waits, too.
+        let given_up = by.map_or(until, |by| by.min(until));
         // A kept connection may be closed just as it is used, or hold a late answer to what went before; a job
         // that must not run twice would fail for the one and might run twice for the other.
         let mut fresh = once;
@@ -138,20 +144,24 @@
             let lease = tokio::select! {
                 biased;
                 () = stopped(stop.clone(), Stop::Unbegun) => Err(Outcome::NotSent),
-                () = tokio::time::sleep_until(until.into()) => Err(Outcome::NotSent),
+                () = tokio::time::sleep_until(given_up.into()) => Err(Outcome::NotSent),
                 lease = self.lease(address, fresh) => lease,
             };
             let mut lease = match lease {
                 Ok(lease) => lease,
                 Err(outcome) => return (outcome.into(), None),
             };
-            // A process that stood still, or connected for long, sees here that its rules have lapsed.
-            if under.as_ref().and_then(|under| under.lapses).is_some_and(|lapses| lapses <= Instant::now()) {
+            // A process that stood still, or connected for long, sees here that it is too late.
+            if by.is_some_and(|by| by <= Instant::now()) {
                 self.give_back(lease);
                 return (Outcome::NotSent.into(), None);
             }
-            match lease.connection.send(parcel.request(address, until, under.as_ref())).await {
+            match lease.connection.send(parcel.request(address, until, under.as_ref()), by).await {
                 Ok(answer) => break (lease, answer),
+                Err(broken) if broken.written == Written::Late => {
+                    debug!(%address, "not written in time");
+                    return (Outcome::NotSent.into(), None);
+                }
                 // The instance closed it while it was idle and not a byte went out: nothing was sent yet.
                 Err(broken) if lease.reused && broken.written == Written::Nothing => fresh = true,
                 Err(broken) => {
@@ -235,7 +245,7 @@
             let mut request = Request::new(Full::default());
             *request.uri_mut() = Uri::from_static("/load");
             request.headers_mut().insert(HOST, host(address));
-            match lease.connection.send(request).await {
+            match lease.connection.send(request, None).await {
                 Ok(answer) => break (lease, answer),
                 Err(broken) if lease.reused && broken.written == Written::Nothing => fresh = true,
                 Err(_) => return (Outcome::Reset, None),
--- a/crates/daemon/src/name_table.rs
+++ b/crates/daemon/src/name_table.rs
@@ -263,9 +263,9 @@
             Err(e) => return (Loss::Failed, format!("request: {e}")),
         }
         request.headers_mut().insert(header::HOST, host(address));
-        let answer = match timeout(self.pace.answer(), connection.send(request)).await {
+        let answer = match timeout(self.pace.answer(), connection.send(request, None)).await {
             Ok(Ok(answer)) => answer,
-            Ok(Err(broken)) => return (Loss::Failed, broken.why.to_string()),
+            Ok(Err(broken)) => return (Loss::Failed, broken.why),
             Err(_) => return (Loss::Silent, "no answer in time".to_owned()),
         };
         if answer.status() != StatusCode::OK {
--- a/crates/daemon/tests/exchanges.rs
+++ b/crates/daemon/tests/exchanges.rs
@@ -6,7 +6,7 @@
 //! (each line as a chunk), `ends` (the last chunk), `closes` (with a reset if so given), `closed`; `crowds` and `clears` (new
 //! connections to an instance whose name begins with x do not come up in between). The
 //! program: `config` (replacements `OLD -> NEW` in config.json), `knows` (instances), `stops` (SIGTERM),
-//! `prints` (SIGUSR1), `rereads` (a new file and
+//! `prints` (SIGUSR1), `pauses` and `resumes` (SIGSTOP, SIGCONT), `passes` (so many ms: for times of the settings), `rereads` (a new file and
 //! SIGHUP: the name of a new discovery and replacements for this once, or the file as it stands), `logs` (waits for a line like it), `exits` (with that status).
 
 use std::collections::HashMap;
@@ -217,6 +217,11 @@
         match (who, verb) {
             ("program", "stops") => self.signal("-TERM"),
             ("program", "prints") => self.signal("-USR1"),
+            ("program", "pauses") => self.signal("-STOP"),
+            ("program", "resumes") => self.signal("-CONT"),
+            ("program", "passes") => {
+                std::thread::sleep(Duration::from_millis(lines[0].parse().expect("milliseconds")));
+            }
             ("program", "rereads") => {
                 match lines[0].strip_prefix('{') {
                     Some(_) => std::fs::write(&self.file, lines[0]).expect("a config file"),
--- a/crates/decisions/src/interface.rs
+++ b/crates/decisions/src/interface.rs
@@ -54,15 +54,23 @@
 }
 
 impl Class {
-    /// Whether a worker drops what another was sent so long ago (ns), and may have run.
-    pub fn drops_repeat(&self, first: &WorkerEntry, worker: &WorkerEntry, since: Nanos) -> bool {
-        let Effect::Keyed(group) = self.effect else { return true };
-        let same = match group {
-            Group::All => true,
-            Group::Zone => first.zone == worker.zone,
-            Group::Cell => first.cell == worker.cell,
-        };
-        same && since < self.window
+    /// Whether a worker drops repeats of what another was sent and may have run, within the window.
+    pub fn drops_repeat(&self, first: &WorkerEntry, worker: &WorkerEntry) -> bool {
+        match self.effect {
+            Effect::Safe | Effect::Unsafe | Effect::Keyed(Group::All) => true,
+            Effect::Keyed(Group::Zone) => first.zone == worker.zone,
+            Effect::Keyed(Group::Cell) => first.cell == worker.cell,
+        }
+    }
+
+    /// Until when further attempts of a request may be written, the first of which that may have run was sent at `first`.
+    /// Repeats are dropped by when their last bytes arrive: what is left of the window then is for their way, for which
+    /// the settings name no time but that in which a connection (the same way, there and back) comes up.
+    pub fn send_by(&self, first: Nanos, connect: Nanos) -> Nanos {
+        match self.effect {
+            Effect::Safe | Effect::Unsafe => Nanos::MAX,
+            Effect::Keyed(_) => first.saturating_add(self.window - connect.min(self.window / 4)),
+        }
     }
 }
 
@@ -113,6 +121,8 @@
     pub max_attempts: u32,
     /// Longest retry-after that a client follows.
     pub max_retry_after: Nanos,
+    /// A connection to a worker that is not up after so long has failed.
+    pub connect: Nanos,
     /// Shortest gap between two events of different times.
     pub resolution: Nanos,
 }
@@ -293,11 +303,13 @@
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
-    /// Start an attempt; a request's attempts are numbered 0, 1, 2 ... `timeout` 0 is the client's deadline.
+    /// Start an attempt; a request's attempts are numbered 0, 1, 2 ... `timeout` 0 is the client's deadline. What of it
+    /// is not written at `by` must not be any more: an attempt whose last byte has not gone out then ends as never sent.
     Send {
         request: RequestId,
         worker: WorkerId,
         timeout: Nanos,
+        by: Nanos,
     },
     Cancel {
         request: RequestId,
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -36,6 +36,7 @@
 //!     parallel_tries: false,
 //!     max_attempts: 3,
 //!     max_retry_after: 1_000 * MS,
+//!     connect: 200 * MS,
 //!     resolution: MS,
 //! };
 //! let mut dispatcher = Dispatcher::new(settings, 7)?;
--- a/crates/decisions/src/meters.rs
+++ b/crates/decisions/src/meters.rs
@@ -195,6 +195,7 @@
             parallel_tries: true,
             max_attempts: 4,
             max_retry_after: 0,
+            connect: 0,
             resolution: 1,
         };
         let (mut all, mut flagged) = (0.0, 0.0);
--- a/crates/decisions/src/rules.rs
+++ b/crates/decisions/src/rules.rs
@@ -218,7 +218,9 @@
     }
 
     fn at(&mut self, at: Nanos, due: Due) {
-        self.agenda.put(at, due);
+        if at < Nanos::MAX {
+            self.agenda.put(at, due);
+        }
     }
 
     fn jittered(&mut self, delay: Nanos) -> Nanos {
@@ -367,10 +369,9 @@
         let elapsed = if hurried { 0 } else { view.longest.saturating_sub(request.time_left) };
         let slack = if self.sparse() { SLACK } else { (class.stretch - 1.3).max(0.0) };
         let useful = class.aim as f64 + slack * view.run;
-        let patience = (self.now + useful as Nanos).saturating_sub(elapsed);
         let deadline = self.now + request.time_left.saturating_sub(2 * self.settings.resolution);
         let deadline = deadline.min(self.ending);
-        let patience = patience.min(deadline);
+        let patience = (self.now + useful as Nanos).saturating_sub(elapsed).min(deadline);
         let over_share = self.shares.over(request.tenant, self.now);
         request.key.into_iter().for_each(|key| self.keys.add(key));
         let homes = match request.key {
@@ -429,9 +430,8 @@
         job.place = Some(place);
         let (patience, slots, memory) = (job.patience, job.request.slots, job.request.memory);
         self.held.insert(place, id, &job.homes);
-        if rank != 1 {
-            self.at(patience, Due::Patience(id));
-        }
+        let useless = self.jobs.get(&id).map_or(patience, |job| self.send_by(job));
+        self.at(if rank == 1 { useless } else { patience.min(useless) }, Due::Patience(id));
         if slots > self.need || memory > self.need_memory {
             // A wide job is waiting: workers that cover only narrow ones are closed to it, and probed.
             (self.need, self.need_memory) = (slots.max(self.need), memory.max(self.need_memory));
@@ -452,9 +452,9 @@
     }
 
     fn patience_over(&mut self, id: RequestId, actions: &mut Vec<Action>) {
-        let due = |job: &&Job| job.place.is_some() && self.now >= job.patience;
+        let due = |job: &&Job| job.place.is_some() && self.now >= job.patience.min(self.send_by(job));
         let Some(job) = self.jobs.get(&id).filter(due) else { return };
-        if job.over_share || !self.late_counts(job) {
+        if job.over_share || !self.late_counts(job) || !self.may_go_on(job) {
             self.answer(id, actions);
         } else {
             self.hold(id, 1);
@@ -464,11 +464,9 @@
     /// The final answer, unless it has been given: a refusal where that is harmless, else a failure.
     fn answer(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let Some(job) = self.jobs.get(&id).filter(|job| !job.over && !job.streaming) else { return };
-        let harmless = match self.settings.classes[job.request.class as usize].effect {
-            Effect::Safe | Effect::Keyed(Group::All) => true,
-            _ => job.attempts.iter().all(|a| !a.maybe_ran),
-        };
-        self.finish(id, harmless, actions);
+        let effect = self.settings.classes[job.request.class as usize].effect;
+        let again = matches!(effect, Effect::Safe | Effect::Keyed(Group::All));
+        self.finish(id, again || job.first_ran().is_none(), actions);
     }
 
     fn finish(&mut self, id: RequestId, harmless: bool, actions: &mut Vec<Action>) {
@@ -508,13 +506,12 @@
 
     fn may_go_on(&self, job: &Job) -> bool {
         let effect = self.settings.classes[job.request.class as usize].effect;
-        let tried = job.attempts.iter().any(|a| a.maybe_ran);
         !job.over
             && !job.streaming
-            && self.now < job.deadline
+            && self.now < job.deadline.min(self.send_by(job))
             && job.attempts.len() < self.settings.max_attempts.min(self.told.attempts()) as usize
             && (self.settings.parallel_tries || job.attempts.iter().all(|a| !a.out))
-            && !(effect == Effect::Unsafe && tried)
+            && !(effect == Effect::Unsafe && job.first_ran().is_some())
     }
 
     /// Whether a worker is open for the job.
@@ -560,13 +557,19 @@
         self.cold_budget(worker, work).is_none_or(enough)
     }
 
-    /// A keyed request that may have run goes only where its repeat is dropped, for as long as it is.
+    /// A keyed request that may have run goes only where its repeat is dropped: both by what was listed of
+    /// the earlier worker then and by what is now, for either may be the older news.
     fn in_group(&self, worker: &Worker, job: &Job) -> bool {
         let class = &self.settings.classes[job.request.class as usize];
-        job.attempts.iter().filter(|a| a.maybe_ran).all(|a| {
-            let first = self.workers[a.worker].as_ref();
-            first.is_some_and(|first| class.drops_repeat(&first.entry, &worker.entry, self.now - a.sent))
-        })
+        let like = |entry: &WorkerEntry| class.drops_repeat(entry, &worker.entry);
+        let now_like = |n: usize| self.workers[n].as_ref().is_some_and(|first| like(&first.entry));
+        job.attempts.iter().filter(|a| a.maybe_ran).all(|a| like(&a.entry) && now_like(a.worker))
+    }
+
+    /// Until when a further attempt may be written.
+    fn send_by(&self, job: &Job) -> Nanos {
+        let class = &self.settings.classes[job.request.class as usize];
+        job.first_ran().map_or(Nanos::MAX, |first| class.send_by(first, self.settings.connect))
     }
 
     /// An open worker for the job, at random among those that suit it best.
@@ -603,18 +606,16 @@
 
     fn send(&mut self, id: RequestId, index: usize, actions: &mut Vec<Action>) {
         self.unhold(id);
+        let by = self.jobs.get(&id).map_or(Nanos::MAX, |job| self.send_by(job));
         let (Some(job), Some(worker)) = (self.jobs.get_mut(&id), &mut self.workers[index]) else { return };
         let attempt = job.attempts.len() as u32;
-        job.attempts.push(Attempt { worker: index, sent: self.now, out: true, maybe_ran: true, heard: None });
-        let (slots, memory, patience) = (
-            job.request.slots,
-            job.request.memory,
-            job.patience.max(self.now + self.settings.classes[job.request.class as usize].aim),
-        );
+        job.attempts.push(Attempt::begin(index, worker.entry.clone(), self.now));
+        let Request { slots, memory, class, .. } = job.request;
+        let class = class as usize;
+        let patience = job.patience.max(self.now + self.settings.classes[class].aim);
         worker.load.sent(self.now, slots, memory);
         worker.signs.sent(self.now);
-        let class = job.request.class as usize;
-        actions.push(Action::Send { request: id, worker: WorkerId(index as u32), timeout: 0 });
+        actions.push(Action::Send { request: id, worker: WorkerId(index as u32), timeout: 0, by });
         let work = slots * self.classes[class].run / SECOND;
         let budget = self.workers[index].as_ref().filter(|_| !self.sparse());
         let budget = budget.and_then(|w| self.cold_budget(w, work));
@@ -688,12 +689,8 @@
 
     /// Its registered size, if that is told and can be.
     fn told(&self, worker: &Worker) -> f64 {
-        let weight = worker.entry.weight;
-        if self.settings.tells_size && weight > 0.0 && weight.is_finite() {
-            weight
-        } else {
-            1.0
-        }
+        let sound = |weight: &f64| self.settings.tells_size && *weight > 0.0 && weight.is_finite();
+        Some(worker.entry.weight).filter(sound).unwrap_or(1.0)
     }
 
     /// How much of the traffic a worker is to have, where a usual one has 1: what a cold one can do is a part
@@ -954,6 +951,7 @@
             return;
         };
         let again = self.now < job.patience.max(attempt.sent) || self.late_counts(job);
+        let again = again && self.now < self.send_by(job);
         let quiet = self.workers[attempt.worker].as_ref().is_some_and(|w| self.silent(w));
         // Not started when it can only be late any more, it would take slots for nothing.
         let last = job.patience.max(attempt.sent + self.settings.classes[job.request.class as usize].aim);
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -34,6 +34,8 @@
 /// One sending of a request.
 pub struct Attempt {
     pub worker: usize,
+    /// As that worker was listed then.
+    pub entry: WorkerEntry,
     pub sent: Nanos,
     pub out: bool,
     /// It may have run; false once it is known not to have.
@@ -42,6 +44,12 @@
     pub heard: Option<Nanos>,
 }
 
+impl Attempt {
+    pub fn begin(worker: usize, entry: WorkerEntry, now: Nanos) -> Self {
+        Attempt { worker, entry, sent: now, out: true, maybe_ran: true, heard: None }
+    }
+}
+
 /// A request that is open, or of which attempts are still out.
 pub struct Job {
     pub request: Request,
@@ -60,6 +68,13 @@
     pub streaming: bool,
 }
 
+impl Job {
+    /// When the first attempt that may have run was decided on.
+    pub fn first_ran(&self) -> Option<Nanos> {
+        self.attempts.iter().find(|a| a.maybe_ran).map(|a| a.sent)
+    }
+}
+
 /// What is to be looked at when its time comes.
 #[derive(PartialEq, Eq, PartialOrd, Ord)]
 pub enum Due {
--- a/crates/decisions/tests/common/mod.rs
+++ b/crates/decisions/tests/common/mod.rs
@@ -36,6 +36,7 @@
         parallel_tries: true,
         max_attempts: 4,
         max_retry_after: 2 * S,
+        connect: 200 * MS,
         resolution: MS,
     }
 }
--- a/crates/decisions/tests/scenarios.rs
+++ b/crates/decisions/tests/scenarios.rs
@@ -219,6 +219,49 @@
     assert!(b.failed(0));
 }
 
+#[test]
+fn a_repeat_must_be_written_a_connect_before_the_end_of_the_window() {
+    for (window, margin) in [(10 * S, 200 * MS), (400 * MS, 100 * MS)] {
+        let mut c = class(Effect::Keyed(Group::Cell));
+        c.window = window;
+        let mut b = Bench::open(settings(vec![c]), vec![entry(0), entry(1)], 4.0);
+        b.ask(0);
+        b.pass(50 * MS);
+        b.outcome(0, 0, Outcome::Reset);
+        let by = |a: &Action| if let Action::Send { by, .. } = a { Some(*by) } else { None };
+        let bounds: Vec<_> = b.actions.iter().filter_map(by).collect();
+        assert_eq!(bounds, [Nanos::MAX, b.now - 50 * MS + window - margin]);
+    }
+}
+
+#[test]
+fn a_job_in_hold_that_may_have_run_is_given_up_once_its_window_is_over() {
+    let mut c = class(Effect::Keyed(Group::Cell));
+    (c.window, c.aim, c.late_worth) = (S, 4 * S, 0.5);
+    let mut b = Bench::open(settings(vec![c]), vec![entry(0)], 4.0);
+    b.ask(0);
+    b.outcome(0, 0, Outcome::Reset);
+    b.pass(700 * MS);
+    assert!(!b.failed(0), "it could still go again");
+    b.pass(200 * MS);
+    assert!(b.failed(0), "nothing can come of it any more");
+}
+
+#[test]
+fn a_worker_that_was_in_another_group_when_it_was_sent_a_job_takes_no_repeat_of_others_or_elsewhere() {
+    // Its name has been taken over, or the list of before was old: which of the two groups ran it is not known.
+    let c = class(Effect::Keyed(Group::Cell));
+    let at = |worker: u32, cell: u32| WorkerEntry { cell, ..entry(worker) };
+    let mut b = Bench::open(settings(vec![c]), vec![at(0, 1)], 4.0);
+    b.ask(0);
+    b.report = Some(free(4.0));
+    b.workers(ListKind::Full, vec![at(0, 2), at(1, 1), at(2, 2)]);
+    b.pass(100 * MS);
+    b.outcome(0, 0, Outcome::Reset);
+    b.pass(2 * S);
+    assert_eq!(b.sends(0).len(), 1);
+}
+
 #[test]
 fn attempts_stay_within_the_limit_and_never_overlap_where_that_is_not_allowed() {
     let mut s = settings(vec![class(Effect::Safe)]);
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -129,6 +129,9 @@
     pub instance: u32,
     /// When it is to be given up as [`Outcome::Timeout`].
     pub until: Nanos,
+    /// What of it is not written by then must not be any more: as long as its last byte has not gone out, it ends as
+    /// [`Outcome::NotSent`] then. [`Nanos::MAX`] where nothing bounds it.
+    pub send_by: Nanos,
 }
 
 /// What is to be done outside.
@@ -422,7 +425,7 @@
 
     fn act(&mut self, action: Action) {
         match action {
-            Action::Send { request, worker, timeout } => self.send(request.0, worker.0, timeout),
+            Action::Send { request, worker, timeout, by } => self.send(request.0, worker.0, timeout, by),
             Action::Cancel { request, attempt } => {
                 let Some(open) = self.open.get_mut(&request.0) else { return };
                 if let Some(state @ Attempt::Out) = open.attempts.get_mut(attempt as usize) {
@@ -440,7 +443,7 @@
         }
     }
 
-    fn send(&mut self, number: u64, instance: u32, timeout: Nanos) {
+    fn send(&mut self, number: u64, instance: u32, timeout: Nanos, send_by: Nanos) {
         let Some(open) = self.open.get_mut(&number) else { return };
         let attempt = open.attempts.len() as u32;
         let limit = if timeout == 0 { Nanos::MAX } else { self.now.saturating_add(timeout) };
@@ -455,7 +458,7 @@
         }
         open.attempts.push(Attempt::Out);
         open.out += 1;
-        self.orders.push(Order::Execute(Execute { id: open.id.clone(), attempt, instance, until }));
+        self.orders.push(Order::Execute(Execute { id: open.id.clone(), attempt, instance, until, send_by }));
     }
 
     fn answer(&mut self, number: u64, answer: Answer<R>) {
--- a/crates/engine/tests/promises.rs
+++ b/crates/engine/tests/promises.rs
@@ -45,6 +45,7 @@
         parallel_tries: true,
         max_attempts: 3,
         max_retry_after: 500 * MS,
+        connect: 200 * MS,
         resolution: MS,
     }
 }
@@ -98,7 +99,7 @@
         let result = self.engine.handle(self.now, input, &mut self.orders);
         for order in std::mem::take(&mut self.orders) {
             match order {
-                Order::Execute(Execute { id, attempt, instance, until }) => {
+                Order::Execute(Execute { id, attempt, instance, until, .. }) => {
                     let (deadline, answers, gone) = self.jobs[&id];
                     assert!(answers == 0 && !gone, "an attempt for a job that is over");
                     assert!(until > self.now && until <= deadline);
--- a/crates/lab/src/policy/bare.rs
+++ b/crates/lab/src/policy/bare.rs
@@ -60,7 +60,8 @@
                     orders.push(Order::Answer { id, answer: Answer::Refused { retry_after: 0 } });
                     return;
                 };
-                orders.push(Order::Execute(Execute { id, attempt: 0, instance, until: job.deadline }));
+                let (until, send_by) = (job.deadline, u64::MAX);
+                orders.push(Order::Execute(Execute { id, attempt: 0, instance, until, send_by }));
                 self.room[instance as usize] -= 1;
                 if self.room[instance as usize] == 0 {
                     self.close(instance);
--- a/crates/lab/src/policy/frame.rs
+++ b/crates/lab/src/policy/frame.rs
@@ -246,7 +246,7 @@
             seen.since += 1;
         }
         let until = open.job.deadline;
-        orders.push(Order::Execute(Execute { id, attempt, instance, until }));
+        orders.push(Order::Execute(Execute { id, attempt, instance, until, send_by: Nanos::MAX }));
     }
 
     /// The final answer, and an end to whatever is still out.
--- a/crates/lab/src/policy/mod.rs
+++ b/crates/lab/src/policy/mod.rs
@@ -194,6 +194,7 @@
         parallel_tries: rules.parallel,
         max_attempts: rules.attempts.0 as u32,
         max_retry_after: millis(scenario.clients.max_retry_after_ms.0),
+        connect: millis(scenario.network.connect_timeout_ms.0),
         resolution: MS,
     }
 }
--- a/crates/lab/src/world/schedulers.rs
+++ b/crates/lab/src/world/schedulers.rs
@@ -158,7 +158,8 @@
     }
 
     fn execute(&mut self, scheduler: u32, execute: Execute<u64>) {
-        let Execute { id: job, attempt, instance, until } = execute;
+        // Connections here come up within a few milliseconds or not at all: nothing can outlast `send_by`.
+        let Execute { id: job, attempt, instance, until, .. } = execute;
         let Some(place) = self.place(scheduler, instance) else { return };
         if self.get(job).is_none() {
             return;
--- a/crates/simhost/src/instance.rs
+++ b/crates/simhost/src/instance.rs
@@ -235,6 +235,7 @@
         parallel_tries: env.caps.parallel_tries.unwrap_or(false),
         max_attempts: env.caps.most_tries.unwrap_or(1),
         max_retry_after: env.caps.max_retry_after_ns.unwrap_or(0),
+        connect: env.caps.connect_timeout_ns.unwrap_or(1_000_000_000),
         resolution: env.resolution_ns.unwrap_or(1_000_000),
     })
 }
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -140,6 +140,7 @@
     pub cancel: Option<bool>,
     pub max_retry_after_ns: Option<u64>,
     pub most_tries: Option<u32>,
+    pub connect_timeout_ns: Option<u64>,
     pub parallel_tries: Option<bool>,
     pub probing: Option<bool>,
 }
