Let jobs that must not run twice use settled connections, and doubt heads that name no job

Lines name their job, heads do not. Change: a connection is settled once 0.1 s have gone by since it last had the answer to a job (a probe's answer never says Not-Started). A job that must not run twice takes a settled kept connection or a new one. A head that says that a keyed job never ran is believed on a settled connection only; before that it ends as a reset, which may have run. Effects go to executions as Repeats in place of a flag. Broken off in its middle, or reset over unread bytes, a request that the kernel had taken whole ends as a reset, as before.

--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -132,6 +132,26 @@
     Now,
 }
 
+/// What a second run of a job would do.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Repeats {
+    Harmless,
+    /// Workers drop it, of a group and for a while.
+    Dropped,
+    /// It must never be.
+    Never,
+}
+
+impl From<Effect> for Repeats {
+    fn from(effect: Effect) -> Self {
+        match effect {
+            Effect::Safe => Repeats::Harmless,
+            Effect::Keyed(_) => Repeats::Dropped,
+            Effect::Unsafe => Repeats::Never,
+        }
+    }
+}
+
 /// One attempt to be made; exactly one [`Input::Ended`] must follow.
 pub struct Execute<P> {
     pub job: u64,
@@ -142,8 +162,7 @@
     pub send_by: Option<Instant>,
     pub stop: watch::Receiver<Stop>,
     pub under: Option<Under>,
-    /// The job must never run twice.
-    pub once: bool,
+    pub repeats: Repeats,
     pub parcel: Arc<P>,
 }
 
@@ -194,14 +213,14 @@
 /// What waits for an answer: the way to give it, and what an execution sends.
 struct Waiting<P> {
     parcel: Arc<P>,
-    once: bool,
+    repeats: Repeats,
     answer: oneshot::Sender<Answer>,
 }
 
 pub struct Core<P, F> {
     engine: Engine<u64, SocketAddr, Bytes>,
-    /// For each class whether its jobs must never run twice.
-    once: Vec<bool>,
+    /// Of each class.
+    repeats: Vec<Repeats>,
     clock: Clock,
     carry_out: F,
     counters: Shared,
@@ -214,9 +233,9 @@
 
 impl<P, F: FnMut(Order<P>)> Core<P, F> {
     pub fn new(settings: Settings, seed: u64, counters: Shared, carry_out: F) -> Result<Self, SettingsError> {
-        let once = settings.classes.iter().map(|class| class.effect == Effect::Unsafe).collect();
+        let repeats = settings.classes.iter().map(|class| class.effect.into()).collect();
         Ok(Core {
-            once,
+            repeats,
             engine: Engine::new(settings, seed)?,
             clock: Clock::start(),
             carry_out,
@@ -256,8 +275,9 @@
                 self.counters.taken.add();
                 let Job { class, tenant, slots, memory, key, retry, deadline, parcel } = job;
                 // As the module has it: a class that is out of range counts as the last.
-                let once = self.once.get(class as usize).or(self.once.last()).copied().unwrap_or(false);
-                self.waiting.insert(id, Waiting { parcel: Arc::new(parcel), once, answer });
+                let repeats = self.repeats.get(class as usize).or(self.repeats.last()).copied();
+                let repeats = repeats.unwrap_or(Repeats::Never);
+                self.waiting.insert(id, Waiting { parcel: Arc::new(parcel), repeats, answer });
                 debug!(job = id, tenant, key, slots, memory, "taken");
                 let deadline = self.clock.at(deadline);
                 Happened::Job { id, job: Facts { class, tenant, slots, memory, key, retry, deadline } }
@@ -377,7 +397,7 @@
             send_by: (send_by != Nanos::MAX).then(|| self.clock.instant(send_by)),
             stop: stopped,
             under,
-            once: waiting.once,
+            repeats: waiting.repeats,
             parcel: waiting.parcel.clone(),
         }));
     }
--- a/crates/daemon/src/execution.rs
+++ b/crates/daemon/src/execution.rs
@@ -19,7 +19,7 @@
 
 use crate::config::Links;
 use crate::connection::{Connection, Lines, Written};
-use crate::core::{End, Execute, Input, Stop, Under};
+use crate::core::{End, Execute, Input, Repeats, Stop, Under};
 use crate::counters::Shared;
 use crate::json;
 
@@ -45,12 +45,22 @@
 /// instance's close ends as a reset, after which the job may have run.
 const IDLE_MARGIN: Duration = Duration::from_millis(1500);
 
+/// A second answer to a job may come some milliseconds after the first (the page on the trial). On a connection that has
+/// carried none for so long it has shown: hyper closes one on which anything comes unasked for.
+const SETTLED: Duration = Duration::from_millis(100);
+
 struct Pooled {
     connection: Connection,
     since: Instant,
+    /// When it last had the answer to a job.
+    answered: Option<Instant>,
     permit: OwnedSemaphorePermit,
 }
 
+fn settled(answered: Option<Instant>) -> bool {
+    answered.is_none_or(|at| at.elapsed() >= SETTLED)
+}
+
 /// For how long no kept connection is used again after one was reset under its next request.
 const DISTRUST: Duration = Duration::from_secs(10);
 
@@ -74,7 +84,7 @@
     under: Option<Under>,
     /// No byte of it is written from then on.
     by: Option<Instant>,
-    once: bool,
+    repeats: Repeats,
 }
 
 /// Returns once an attempt may go no further than that.
@@ -91,6 +101,16 @@
     permit: OwnedSemaphorePermit,
     address: SocketAddr,
     reused: bool,
+    answered: Option<Instant>,
+}
+
+/// Which connection will do.
+#[derive(Clone, Copy, PartialEq)]
+enum Wanted {
+    Any,
+    /// A new one, or a kept one that has settled.
+    Settled,
+    New,
 }
 
 impl Instances {
@@ -114,10 +134,10 @@
     /// Makes one attempt and reports its one end, whichever comes first of its own outcome, the module's
     /// cancel and its time running out.
     pub async fn execute(self: Arc<Self>, execute: Execute<Parcel>) {
-        let Execute { job, attempt, address, until, send_by, stop, under, once, parcel } = execute;
+        let Execute { job, attempt, address, until, send_by, stop, under, repeats, parcel } = execute;
         let lapses = under.as_ref().and_then(|under| under.lapses);
         let by = [send_by, lapses].into_iter().flatten().min();
-        let made = Attempt { number: (job, attempt), address, until, stop: stop.clone(), under, by, once };
+        let made = Attempt { number: (job, attempt), address, until, stop: stop.clone(), under, by, repeats };
         let (end, tail) = tokio::select! {
             // An end that crosses the cancel counts: what it tells is known.
             biased;
@@ -132,20 +152,20 @@
     }
 
     async fn attempt(&self, made: Attempt, parcel: &Parcel) -> (End, Option<(Lines, Lease)>) {
-        let Attempt { number: (job, attempt), address, until, stop, under, by, once } = made;
+        let Attempt { number: (job, attempt), address, until, stop, under, by, repeats } = made;
         // What is not written by then is given up while it waits, too.
         let given_up = by.map_or(until, |by| by.min(until));
-        // A kept connection may be closed just as it is used, or hold a late answer to what went before; a job
-        // that must not run twice would fail for the one and might run twice for the other.
-        let mut fresh = once;
-        let (mut lease, answer) = loop {
+        // A kept connection may hold a late answer to what went before, and a job that must not run twice might run
+        // twice for it.
+        let mut wanted = if repeats == Repeats::Never { Wanted::Settled } else { Wanted::Any };
+        let (lease, answer) = loop {
             // Whatever came in while a place or the connection was waited for is heeded before the first byte:
             // a cancel, the instance's leave, the client's. From here to the write nothing is waited for.
             let lease = tokio::select! {
                 biased;
                 () = stopped(stop.clone(), Stop::Unbegun) => Err(Outcome::NotSent),
                 () = tokio::time::sleep_until(given_up.into()) => Err(Outcome::NotSent),
-                lease = self.lease(address, fresh) => lease,
+                lease = self.lease(address, wanted) => lease,
             };
             let mut lease = match lease {
                 Ok(lease) => lease,
@@ -163,7 +183,7 @@
                     return (Outcome::NotSent.into(), None);
                 }
                 // The instance closed it while it was idle and not a byte went out: nothing was sent yet.
-                Err(broken) if lease.reused && broken.written == Written::Nothing => fresh = true,
+                Err(broken) if lease.reused && broken.written == Written::Nothing => wanted = Wanted::New,
                 Err(broken) => {
                     debug!(%address, why = %broken.why, written = ?broken.written, "connection broke");
                     let whole = broken.written == Written::Whole;
@@ -175,8 +195,12 @@
                 }
             }
         };
-        lease.reused = true;
-        let (outcome, report) = (head_outcome(&answer), head_report(&answer));
+        let (mut outcome, report) = (head_outcome(&answer), head_report(&answer));
+        // A head names no job: this one may be of the job before, and proves nothing then.
+        let foreign = !settled(lease.answered) && repeats != Repeats::Harmless;
+        if foreign && outcome.is_some_and(Outcome::never_ran) {
+            outcome = Some(Outcome::Reset);
+        }
         let mut lines = Lines::new(answer.into_body(), LONGEST);
         if let Some(outcome) = outcome {
             return (End { outcome, result: None, report }, Some((lines, lease)));
@@ -219,6 +243,7 @@
             false
         };
         if timeout(TAIL, tail).await == Ok(true) {
+            lease.answered = Some(Instant::now());
             self.give_back(lease);
         }
     }
@@ -236,9 +261,9 @@
     }
 
     async fn ask_load(&self, address: SocketAddr) -> (Outcome, Option<Report>) {
-        let mut fresh = false;
+        let mut wanted = Wanted::Any;
         let (lease, answer) = loop {
-            let mut lease = match self.lease(address, fresh).await {
+            let mut lease = match self.lease(address, wanted).await {
                 Ok(lease) => lease,
                 Err(outcome) => return (outcome, None),
             };
@@ -247,7 +272,7 @@
             request.headers_mut().insert(HOST, host(address));
             match lease.connection.send(request, None).await {
                 Ok(answer) => break (lease, answer),
-                Err(broken) if lease.reused && broken.written == Written::Nothing => fresh = true,
+                Err(broken) if lease.reused && broken.written == Written::Nothing => wanted = Wanted::New,
                 Err(_) => return (Outcome::Reset, None),
             }
         };
@@ -264,12 +289,12 @@
     }
 
     /// A connection to an instance, or what has become of the attempt without one.
-    async fn lease(&self, address: SocketAddr, fresh: bool) -> Result<Lease, Outcome> {
-        while let Some(pooled) = if fresh { None } else { self.take(address) } {
+    async fn lease(&self, address: SocketAddr, wanted: Wanted) -> Result<Lease, Outcome> {
+        while let Some(pooled) = self.take(address, wanted) {
             if pooled.connection.usable() {
                 self.counters.reuses.add();
-                let Pooled { connection, permit, .. } = pooled;
-                return Ok(Lease { connection, permit, address, reused: true });
+                let Pooled { connection, permit, answered, .. } = pooled;
+                return Ok(Lease { connection, permit, address, reused: true, answered });
             }
         }
         let permit = match self.permits.clone().try_acquire_owned() {
@@ -287,7 +312,7 @@
             debug!(%address, %why, "could not connect");
             Outcome::ConnectFailed
         })?;
-        Ok(Lease { connection, permit, address, reused: false })
+        Ok(Lease { connection, permit, address, reused: false, answered: None })
     }
 
     /// Instances that reset kept connections under the next request do so again, and nothing shows it before:
@@ -308,16 +333,24 @@
         self.pool.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// The connection used last: the others may then close for idleness.
-    fn take(&self, address: SocketAddr) -> Option<Pooled> {
+    /// The connection used last that will do: the others may then close for idleness.
+    fn take(&self, address: SocketAddr, wanted: Wanted) -> Option<Pooled> {
+        let will_do = |pooled: &Pooled| match wanted {
+            Wanted::Any => true,
+            Wanted::Settled => settled(pooled.answered),
+            Wanted::New => false,
+        };
         let usable = self.links.idle.saturating_sub(IDLE_MARGIN);
-        let pooled = self.pool().get_mut(&address)?.pop()?;
+        let mut pool = self.pool();
+        let idle = pool.get_mut(&address)?;
+        let last = idle.iter().rposition(will_do)?;
+        let pooled = idle.remove(last);
         (pooled.since.elapsed() < usable).then_some(pooled)
     }
 
     fn give_back(&self, lease: Lease) {
-        let Lease { connection, permit, address, .. } = lease;
-        let pooled = Pooled { connection, since: Instant::now(), permit };
+        let Lease { connection, permit, address, answered, .. } = lease;
+        let pooled = Pooled { connection, since: Instant::now(), answered, permit };
         if !self.trusting() {
             return;
         }
