Let a host say that the list may be stale, and go by the workers' own word then

Cause: a change counts as told 6 s after discovery had it and could be reached, whatever came of the calls. The module had no notion of that: until a new list it sent by the old one. With 300 schedulers on a service that answers 15 calls a second the last new list is there after 20 s. And its pause after a failed call doubled up to half of `must_ask`.

Change: `ListKind::Stale`. From then to the next `Changes` or `Full` a worker is open only for 1 s after a probe of our own found that it takes work (`open`, `probed`), and closed workers are probed as ever (`settle`); without probes nothing is sent. The engine withdraws what has not begun. After `Failed` the pause no longer grows: 0.25 to 0.75 s and 5 to 15 ms for each dispatcher, at most half of `must_ask` (`list`). Sparse dispatchers send within 0.3 s of a report anyhow.

Checked: tests of nickelflow and nickelflow-engine pass. With the guard in `open` taken out, five of the new scenarios and the property over random sequences fail. The property now also plays `Stale` and holds sends against the words.

--- a/crates/decisions/src/interface.rs
+++ b/crates/decisions/src/interface.rs
@@ -160,6 +160,9 @@
     Saved,
     /// A call for the list failed or the subscription dropped; the old list still applies.
     Failed,
+    /// The list may lack changes that count as told by now: until the next `Changes` or `Full` (an empty one will
+    /// do), nothing new goes to a worker that has not said itself, by a probe just now, that it takes work.
+    Stale,
 }
 
 /// How an attempt or a probe ended.
--- a/crates/decisions/src/rules.rs
+++ b/crates/decisions/src/rules.rs
@@ -8,7 +8,7 @@
 //! back to the hold where its class allows another, and else to its final answer. Shortly before the client
 //! gives up, whatever is still open is answered.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::ops::Bound;
 use std::sync::Arc;
 
@@ -75,6 +75,8 @@
 const PROBE_LOST: Nanos = 2_000 * MS;
 /// A worker with unheard work that tells nothing for this long (ns), beyond its usual notes, may hang.
 const SILENCE: Nanos = 500 * MS;
+/// While the list may be stale, a worker is open for so long (ns) after it said itself that it takes work.
+const WORD: Nanos = REPORT_AGE;
 /// Failures double the wait for the next probe, up to this many times.
 const MAX_DOUBLINGS: f64 = 6.0;
 /// A success takes this part off a worker's count of failures.
@@ -121,7 +123,8 @@
     demand: Demand,
     agenda: Agenda<Due>,
     asked: bool,
-    list_failures: u32,
+    /// The list may lack what counts as told.
+    stale: bool,
     keys: Counts,
     /// Registered size of the ready workers, on average.
     mean: f64,
@@ -160,7 +163,7 @@
             demand: Demand::new(&settings),
             agenda: Agenda::default(),
             asked: false,
-            list_failures: 0,
+            stale: false,
             sizes: BTreeMap::new(),
             keys: Counts::new(KEYS_SEEN),
             mean: 1.0,
@@ -238,31 +241,19 @@
             ListKind::Failed if !self.settings.must_subscribe => return,
             ListKind::Failed => {
                 // All dispatchers fail together when the list service is overloaded: come back spread out.
-                self.list_failures = (self.list_failures + 1).min(4);
-                let delay =
-                    self.jittered((500 * MS) << self.list_failures).min(self.settings.contract.must_ask / 2);
-                self.at(self.now + delay, Due::Subscribe);
-                return;
+                let delay = self.jittered(500 * MS + 10 * MS * u64::from(self.settings.dispatchers));
+                let at = self.now + delay.min(self.settings.contract.must_ask / 2);
+                return self.at(at, Due::Subscribe);
             }
-            ListKind::Changes => {}
+            ListKind::Changes | ListKind::Stale => {}
             ListKind::Full | ListKind::Saved => {
-                let mut listed = vec![false; self.workers.len()];
-                for entry in &entries {
-                    if let Some(listed) = listed.get_mut(entry.worker.0 as usize) {
-                        *listed = true;
-                    }
-                }
-                for index in (0..listed.len()).filter(|index| !listed[*index]) {
-                    if let Some(worker) = &mut self.workers[index] {
-                        worker.ready = false;
-                    }
+                let listed: BTreeSet<usize> = entries.iter().map(|entry| entry.worker.0 as usize).collect();
+                for index in (0..self.workers.len()).filter(|index| !listed.contains(index)) {
+                    self.workers[index].iter_mut().for_each(|worker| worker.ready = false);
                     self.note(index);
                 }
             }
         }
-        if kind != ListKind::Saved {
-            self.list_failures = 0;
-        }
         // All of them first: how many there are tells whether each is probed for a start.
         for entry in &entries {
             let ready = entry.membership == Membership::Ready;
@@ -274,6 +265,10 @@
         let ready = self.workers.iter().flatten().filter(|w| w.ready);
         let (sum, count) = ready.fold((0.0, 0.0), |(sum, count), w| (sum + self.told(w), count + 1.0));
         self.mean = if count > 0.0 { sum / count } else { 1.0 };
+        let stale = kind == ListKind::Stale || self.stale && kind == ListKind::Saved;
+        if std::mem::replace(&mut self.stale, stale) != stale {
+            self.settle_all(actions);
+        }
     }
 
     fn entry(&mut self, entry: WorkerEntry) {
@@ -294,20 +289,16 @@
                 return self.settle(index);
             }
         }
-        let sparse = self.sparse();
         let timer = self.workers[index].as_ref().map_or(0, |old| old.timer.wrapping_add(1));
-        self.workers[index] = Some(Worker::new(entry, timer, self.now));
-        if let Some(worker) = &mut self.workers[index] {
-            worker.ready = ready;
-            if ready && self.settings.can_probe && !sparse {
-                worker.waiting = true;
-                let timer = worker.timer;
-                let delay = self.rng.u64(0..FIRST_PROBE * u64::from(self.settings.dispatchers));
-                self.at(self.now + delay, Due::Probe(index, timer));
-            } else if ready && !self.settings.can_probe {
-                worker.load.free = Some(worker.load.size);
-            }
+        let mut worker = Worker { ready, ..Worker::new(entry, timer, self.now) };
+        if ready && self.settings.can_probe && !self.sparse() {
+            worker.waiting = true;
+            let delay = self.rng.u64(0..FIRST_PROBE * u64::from(self.settings.dispatchers));
+            self.at(self.now + delay, Due::Probe(index, timer));
+        } else if ready && !self.settings.can_probe {
+            worker.load.free = Some(worker.load.size);
         }
+        self.workers[index] = Some(worker);
         self.note(index);
     }
 
@@ -336,9 +327,8 @@
             let out = out.filter(|(_, a)| a.out && a.heard.is_none() && drained(a.worker));
             actions.extend(out.map(|(n, _)| Action::Cancel { request: *id, attempt: n as u32 }));
         }
-        for index in (0..self.workers.len()).filter(|_| changed) {
-            self.settle(index);
-            self.serve(index, actions);
+        if changed {
+            self.settle_all(actions);
         }
     }
 
@@ -538,6 +528,7 @@
             && self.told.allows(worker.entry.address_hash, job.request.tenant, self.now)
             && self.in_group(worker, job)
             && !(self.sparse() && self.now > worker.read + FRESH)
+            && !(self.stale && worker.takes_work.is_none_or(|at| self.now > at + WORD))
             && self.spare(worker, job)
     }
 
@@ -844,6 +835,7 @@
         let full = worker.load.memory.is_some_and(|free| free < need_memory.min(worker.load.room));
         let closed = worker.shut
             || full
+            || self.stale
             || worker.load.free.is_none_or(|free| free + K < need.min(worker.load.size.max(1.0)));
         if !closed || !worker.ready {
             if std::mem::take(&mut worker.waiting) {
@@ -865,6 +857,13 @@
         }
     }
 
+    fn settle_all(&mut self, actions: &mut Vec<Action>) {
+        for index in 0..self.workers.len() {
+            self.settle(index);
+            self.serve(index, actions);
+        }
+    }
+
     /// Every dispatcher counts the same free slots: each takes its part, rounded at random. Where each sends
     /// a worker less than one job in a report's age, that much fewer of them want its slots.
     fn part(&mut self, index: usize) -> Part {
@@ -907,6 +906,7 @@
         if outcome == Outcome::Ok {
             report.filter(|_| warm).iter().for_each(|r| self.room.seen(r, worker.load.size.max(part.size)));
             worker.shut = false;
+            worker.takes_work = Some(self.now);
             worker.report(self.now, &report.unwrap_or_default(), &part);
         } else if outcome != Outcome::NotSent {
             worker.failed(1.0);
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -20,6 +20,8 @@
     /// When it last reported, and when a job may have it probed again.
     pub read: Nanos,
     pub next: Nanos,
+    /// When a probe last told that it takes work.
+    pub takes_work: Option<Nanos>,
     /// When a job had it probed.
     pub asked: Nanos,
     pub signs: Signs,
@@ -93,6 +95,7 @@
             failures: 0.0,
             read: 0,
             next: 0,
+            takes_work: None,
             asked: 0,
             signs: Signs::default(),
             timer,
--- a/crates/decisions/tests/properties.rs
+++ b/crates/decisions/tests/properties.rs
@@ -18,6 +18,7 @@
     List { worker: u8, membership: u8, restart: bool },
     Whole { mask: u8, saved: bool },
     ListFailed,
+    Stale,
     Gone { which: u16 },
     Pass { ms: u16 },
     Nonsense { number: u16 },
@@ -35,6 +36,7 @@
             .prop_map(|(worker, membership, restart)| Step::List { worker, membership, restart }),
         1 => (any::<u8>(), any::<bool>()).prop_map(|(mask, saved)| Step::Whole { mask, saved }),
         1 => Just(Step::ListFailed),
+        1 => Just(Step::Stale),
         1 => any::<u16>().prop_map(|which| Step::Gone { which }),
         6 => (0..400u16).prop_map(|ms| Step::Pass { ms }),
         1 => any::<u16>().prop_map(|number| Step::Nonsense { number }),
@@ -82,6 +84,9 @@
     next: u64,
     /// Slots sent to each cold worker since its start, with their times.
     cold: BTreeMap<u32, Vec<(Nanos, f64)>>,
+    /// Whether the list may be stale, and when each worker last said that it takes work.
+    stale: bool,
+    words: BTreeMap<u32, Nanos>,
 }
 
 fn line(worker: u32) -> WorkerEntry {
@@ -134,6 +139,9 @@
             entry.as_ref().is_some_and(|e| e.membership == Membership::Ready),
             "sent to a worker that drains or is gone"
         );
+        let word = self.words.get(&worker).copied();
+        let fresh = word.is_some_and(|at| self.now <= at + S);
+        prop_assert!(fresh || !self.stale, "sent by a list that may be stale");
         let entry = entry.expect("listed");
         let list = &self.list;
         let (now, settings) = (self.now, &self.settings);
@@ -259,6 +267,9 @@
                     ..Report::default()
                 };
                 let outcome = if ok { Outcome::Ok } else { Outcome::Timeout };
+                if ok {
+                    self.words.insert(worker, self.now);
+                }
                 self.event(Event::Probed {
                     worker: WorkerId(worker),
                     outcome,
@@ -271,6 +282,7 @@
                     [Membership::Ready, Membership::Draining, Membership::Gone][membership as usize];
                 let entry = self.entry(worker, membership, restart && membership == Membership::Ready);
                 self.list.insert(worker, entry.clone());
+                self.stale = false;
                 self.event(Event::Workers { kind: ListKind::Changes, entries: vec![entry] })?;
             }
             Step::Whole { mask, saved } => {
@@ -284,11 +296,16 @@
                         entries.push(entry);
                     }
                 }
+                self.stale &= saved;
                 let kind = if saved { ListKind::Saved } else { ListKind::Full };
                 self.event(Event::Workers { kind, entries })?;
             }
             Step::ListFailed if !self.settings.must_subscribe => {}
             Step::ListFailed => self.event(Event::Workers { kind: ListKind::Failed, entries: vec![] })?,
+            Step::Stale => {
+                self.stale = true;
+                self.event(Event::Workers { kind: ListKind::Stale, entries: vec![] })?;
+            }
             Step::Gone { which } => {
                 let id = u64::from(which) % self.next.max(1);
                 if let Some(taken) = self.taken.get_mut(&id) {
@@ -333,6 +350,8 @@
         taken: BTreeMap::new(),
         next: 0,
         cold: BTreeMap::new(),
+        stale: false,
+        words: BTreeMap::new(),
     };
     world.step(Step::Whole { mask: 0x3f, saved: true })?;
     for step in steps {
--- a/crates/decisions/tests/scenarios.rs
+++ b/crates/decisions/tests/scenarios.rs
@@ -275,6 +275,93 @@
     }
 }
 
+#[test]
+fn after_a_failed_call_it_subscribes_again_soon_however_often_it_failed() {
+    // A change counts as told 6 s after the list service had it and could be reached; of that the pause is a part.
+    for (dispatchers, most) in [(2, 780 * MS), (30, 1_200 * MS), (80, 1_950 * MS)] {
+        let mut s = Settings { dispatchers, ..settings(vec![class(Effect::Safe)]) };
+        (s.must_subscribe, s.contract.must_ask) = (true, 40 * S);
+        let mut b = Bench::new(s);
+        b.workers(ListKind::Saved, vec![entry(0)]);
+        for _ in 0..40 {
+            b.take();
+            b.workers(ListKind::Failed, vec![]);
+            b.pass(most);
+            let asked = b.actions.iter().filter(|a| **a == Action::Subscribe).count();
+            assert_eq!(asked, 1, "{dispatchers} dispatchers: still waiting");
+        }
+    }
+}
+
+// ---- a list that may be stale ----------------------------------------------------------------------------
+
+#[test]
+fn with_a_stale_list_a_worker_is_open_by_its_own_word_only() {
+    let patient = Class { aim: 4 * S, ..class(Effect::Safe) };
+    let mut b = Bench::open(settings(vec![patient]), vec![entry(0), entry(1)], 9.0);
+    b.pass(2 * S);
+    b.workers(ListKind::Stale, vec![]);
+    b.ask(0);
+    assert!(b.sends(0).is_empty(), "sent by a list that may be stale");
+    b.pass(400 * MS);
+    assert!(b.probes(0) >= 1 && b.probes(1) >= 1, "not asked whether they take work");
+    // One that leaves turns work away, and says so.
+    b.event(Event::Probed { worker: WorkerId(0), outcome: Outcome::Error, report: None });
+    assert!(b.sends(0).is_empty());
+    b.event(Event::Probed { worker: WorkerId(1), outcome: Outcome::Ok, report: Some(free(9.0)) });
+    assert_eq!(b.sends(0), [1]);
+    // Its word is soon too old.
+    b.pass(1_100 * MS);
+    b.ask(1);
+    assert!(b.sends(1).is_empty(), "sent by a word that is too old");
+}
+
+#[test]
+fn a_probe_that_was_never_made_is_no_word_of_the_worker() {
+    let mut b = Bench::open(settings(vec![class(Effect::Safe)]), vec![entry(0)], 9.0);
+    b.pass(2 * S);
+    b.workers(ListKind::Stale, vec![]);
+    b.pass(400 * MS);
+    b.event(Event::Probed { worker: WorkerId(0), outcome: Outcome::NotSent, report: None });
+    b.ask(0);
+    assert!(b.sends(0).is_empty());
+}
+
+#[rstest]
+#[case(ListKind::Changes, vec![], 1)]
+#[case(ListKind::Full, vec![entry(0)], 1)]
+#[case(ListKind::Saved, vec![entry(0)], 0)]
+#[case(ListKind::Failed, vec![], 0)]
+fn news_of_the_list_service_ends_it(
+    #[case] kind: ListKind,
+    #[case] entries: Vec<WorkerEntry>,
+    #[case] sends: usize,
+) {
+    let mut b = Bench::open(settings(vec![class(Effect::Safe)]), vec![entry(0)], 9.0);
+    b.pass(2 * S);
+    b.workers(ListKind::Stale, vec![]);
+    b.ask(0);
+    b.workers(kind, entries);
+    assert_eq!(b.sends(0).len(), sends, "{kind:?}");
+    b.ask(1);
+    assert_eq!(b.sends(1).len(), sends, "{kind:?}");
+}
+
+#[test]
+fn with_a_stale_list_and_no_probes_nothing_is_sent() {
+    let mut s = settings(vec![class(Effect::Safe)]);
+    s.can_probe = false;
+    let mut b = Bench::new(s);
+    b.workers(ListKind::Full, vec![entry(0)]);
+    b.workers(ListKind::Stale, vec![]);
+    b.ask(0);
+    b.pass(5 * S);
+    assert!(b.sends(0).is_empty() && b.refused(0));
+    b.workers(ListKind::Changes, vec![]);
+    b.ask(1);
+    assert_eq!(b.sends(1), [0]);
+}
+
 // ---- rule 4: cold workers --------------------------------------------------------------------------------
 
 #[test]
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -51,7 +51,8 @@
 /// What has happened outside.
 #[derive(Clone, Debug)]
 pub enum Input<J, A, R> {
-    /// A list of instances, or news of it. With [`ListKind::Failed`] the entries are passed over.
+    /// A list of instances, or news of it. With [`ListKind::Failed`] and [`ListKind::Stale`] the entries are passed
+    /// over; the latter withdraws whatever has not begun.
     Listed {
         kind: ListKind,
         instances: Vec<Instance<A>>,
@@ -279,7 +280,7 @@
         match input {
             Input::Listed { kind, instances } => {
                 let entries = match kind {
-                    ListKind::Failed => Vec::new(),
+                    ListKind::Failed | ListKind::Stale => Vec::new(),
                     _ => instances.into_iter().map(|instance| self.instances.entry(instance)).collect(),
                 };
                 self.leave(kind, &entries);
@@ -334,6 +335,8 @@
             ListKind::Failed => return,
             ListKind::Changes => true,
             ListKind::Full | ListKind::Saved => false,
+            // Decided by what may be out of date by now, whoever it goes to: it is decided anew.
+            ListKind::Stale => false,
         };
         // In the order of their numbers: the same inputs give the same orders, in any process.
         let mut jobs: Vec<_> = self.open.iter().collect();
--- a/crates/engine/tests/promises.rs
+++ b/crates/engine/tests/promises.rs
@@ -340,7 +340,7 @@
     let settings = Settings { can_probe: false, ..settings(Effect::Safe) };
     let mut engine = Engine::<u64, (), ()>::new(settings, 1).expect("sound settings");
     let mut orders = Vec::new();
-    let mut listed = |engine: &mut Engine<u64, (), ()>, membership| {
+    let mut listed = |engine: &mut Engine<u64, (), ()>, kind, membership| {
         let instance = Instance {
             name: "a".to_owned(),
             address: (),
@@ -351,7 +351,7 @@
             weight: 1.0,
             started: None,
         };
-        let listed = Input::Listed { kind: ListKind::Full, instances: vec![instance] };
+        let listed = Input::Listed { kind, instances: vec![instance] };
         orders.clear();
         engine.handle(1, listed, &mut orders).expect("a list");
         orders
@@ -359,13 +359,18 @@
             .filter_map(|o| if let Order::Withdraw { id, .. } = o { Some(*id) } else { None })
             .collect()
     };
-    let none: Vec<u64> = listed(&mut engine, Membership::Ready);
+    let none: Vec<u64> = listed(&mut engine, ListKind::Full, Membership::Ready);
     assert!(none.is_empty());
     let job =
         Job { class: 0, tenant: None, slots: 0.01, memory: 0.0, key: None, retry: false, deadline: 1 << 40 };
     for id in 0..40 {
         engine.handle(1, Input::Job { id, job: job.clone() }, &mut Vec::new()).expect("a job");
     }
-    let withdrawn: Vec<u64> = listed(&mut engine, Membership::Draining);
+    let withdrawn: Vec<u64> = listed(&mut engine, ListKind::Full, Membership::Draining);
     assert!(withdrawn.len() > 10 && withdrawn.is_sorted(), "{withdrawn:?}");
+    // So it is with what was decided by a list that may be stale; a call that failed withdraws nothing.
+    let stale: Vec<u64> = listed(&mut engine, ListKind::Stale, Membership::Ready);
+    assert_eq!(stale, withdrawn);
+    let failed: Vec<u64> = listed(&mut engine, ListKind::Failed, Membership::Ready);
+    assert!(failed.is_empty());
 }
--- a/crates/lab/src/policy/frame.rs
+++ b/crates/lab/src/policy/frame.rs
@@ -77,7 +77,7 @@
 
     /// Takes a list. Tells what it does not know yet.
     pub fn list(&mut self, kind: ListKind, instances: Vec<nickelflow_engine::Instance<Place>>) -> Vec<u32> {
-        if kind == ListKind::Failed {
+        if matches!(kind, ListKind::Failed | ListKind::Stale) {
             return Vec::new();
         }
         if kind != ListKind::Changes {
