--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -290,7 +290,9 @@
             }
             Input::Ending { by } => Happened::Ending { by: self.clock.at(by) },
             Input::Listed { kind, entries } => {
-                self.counters.lists.add();
+                if kind != ListKind::Stale {
+                    self.counters.lists.add();
+                }
                 Happened::Listed { kind, instances: entries }
             }
         };
