--- a/crates/decisions/tests/scenarios.rs
+++ b/crates/decisions/tests/scenarios.rs
@@ -347,6 +347,75 @@
     assert_eq!(b.sends(1).len(), sends, "{kind:?}");
 }
 
+#[test]
+fn one_of_many_dispatchers_loses_next_to_nothing_to_a_stale_list() {
+    // It sends only right after a report anyhow. Some workers are full, some say that they leave.
+    let play = |seed, stale: bool| {
+        let mut b = one_of_a_hundred(seed);
+        b.workers(ListKind::Full, (0..60).map(entry).collect());
+        b.pass(2 * S);
+        if stale {
+            b.workers(ListKind::Stale, vec![]);
+        }
+        let (mut sent, mut probes) = (0, 0);
+        for id in 0..200 {
+            b.take();
+            b.event(keyed(id, id % 40 + 1_000 * seed));
+            let mut read = 0;
+            while let Some(Action::Probe { worker }) = b.actions.get(read).cloned() {
+                let outcome = if worker.0 % 4 == 0 { Outcome::Error } else { Outcome::Ok };
+                let report = (outcome == Outcome::Ok).then(|| free(f64::from(worker.0 % 3) * 3.0));
+                b.event(Event::Probed { worker, outcome, report });
+                read += 1;
+            }
+            probes += read;
+            sent += b.sends(id).len();
+            if !b.sends(id).is_empty() {
+                b.event(Event::Progress { request: RequestId(id), attempt: 0 });
+                b.outcome(id, 0, Outcome::Ok);
+            }
+            b.pass(60 * MS);
+        }
+        (sent, probes)
+    };
+    for seed in 0..20 {
+        let (current, stale) = (play(seed, false), play(seed, true));
+        println!("seed {seed}: (sent, probes) {current:?}, stale {stale:?}");
+        assert_eq!(current, stale);
+        assert!(current.0 > 100, "{current:?}");
+    }
+}
+
+#[test]
+fn one_of_few_dispatchers_serves_on_by_the_words_of_its_workers() {
+    let play = |seed, stale: bool| {
+        let mut b = Bench::seeded(settings(vec![class(Effect::Safe)]), seed);
+        b.report = Some(free(9.0));
+        b.workers(ListKind::Full, (0..8).map(entry).collect());
+        b.pass(S);
+        b.take();
+        if stale {
+            b.workers(ListKind::Stale, vec![]);
+        }
+        for id in 0..500 {
+            b.ask(id);
+            b.pass(10 * MS);
+            if !b.sends(id).is_empty() {
+                b.event(Event::Progress { request: RequestId(id), attempt: 0 });
+                b.outcome(id, 0, Outcome::Ok);
+            }
+        }
+        let sent = (0..500).filter(|id| !b.sends(*id).is_empty()).count();
+        (sent, (0..8).map(|worker| b.probes(worker)).sum::<usize>())
+    };
+    for seed in 0..20 {
+        let (current, stale) = (play(seed, false), play(seed, true));
+        println!("seed {seed}: (sent, probes) {current:?}, stale {stale:?}");
+        assert_eq!(current.0, 500);
+        assert!(stale.0 >= 490, "{stale:?}");
+    }
+}
+
 #[test]
 fn with_a_stale_list_and_no_probes_nothing_is_sent() {
     let mut s = settings(vec![class(Effect::Safe)]);
