Rename the name table to what it is, a client of discovery, and part the list from it

Names only, no change of behaviour; in the issue's list of coined words. name_table.rs is discovery.rs; `NameTable` is `DiscoveryClient`, `Pace` is `WatchTiming`, `Loss` is `WatchEnd`, `Words` is `EntryNames` (in `Config`: `entry_names`). What reads a list, from a watch or from the file, is in list.rs: so config no longer needs the client, and the circle config -> name_table -> execution -> config is gone.

--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -6,7 +6,7 @@
 use nickelflow::{Class, Contract, Effect, Group, Settings, Tenant};
 
 use crate::json::{self, Field};
-use crate::name_table::{self, List, Words};
+use crate::list::{EntryNames, List};
 
 pub struct Config {
     pub origin: Origin,
@@ -18,8 +18,8 @@
     pub settings: Settings,
     pub names: Names,
     pub links: Links,
-    pub words: Words,
-    /// The name table as this scheduler last had it.
+    pub entry_names: EntryNames,
+    /// The list of instances as this scheduler last had it.
     pub known: List,
 }
 
@@ -98,9 +98,10 @@
             let items = list.map_or(Ok(vec![]), |l| l.items())?;
             items.iter().map(|f| Ok(f.get("name")?.text()?.to_owned())).collect()
         };
-        let words = Words { zones: named(settings.opt("zones")?)?, kinds: named(settings.opt("kinds")?)? };
+        let entry_names =
+            EntryNames { zones: named(settings.opt("zones")?)?, kinds: named(settings.opt("kinds")?)? };
         let known = match root.opt("known")? {
-            Some(known) => name_table::list(&known, &words)?,
+            Some(known) => List::decode(&known, &entry_names)?,
             None => List { index: 0, snapshot: true, entries: vec![], skipped: vec![] },
         };
         if let Some(why) = known.skipped.first() {
@@ -116,8 +117,8 @@
             names: [
                 ("classes", names.classes.clone()),
                 ("customers", names.tenants.clone()),
-                ("zones", words.zones.clone()),
-                ("kinds", words.kinds.clone()),
+                ("zones", entry_names.zones.clone()),
+                ("kinds", entry_names.kinds.clone()),
             ],
         };
         Ok(Config {
@@ -138,7 +139,7 @@
                 grace: Duration::from_nanos(time(&contract, "stop_sending_within_ns", 500_000_000)?),
             },
             settings: module_settings(&settings)?,
-            words,
+            entry_names,
             known,
         })
     }
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -26,7 +26,7 @@
 pub type End = nickelflow_engine::End<Bytes>;
 /// The single final answer to a job.
 pub type Answer = nickelflow_engine::Answer<Bytes>;
-/// One line of the name table.
+/// One entry of the list of instances.
 pub type Entry = Instance<SocketAddr>;
 
 /// The engine's clock: monotonic, and anchored once to Unix time so that the start times of instances, which
--- a/crates/daemon/src/name_table.rs
+++ b/crates/daemon/src/discovery.rs
@@ -1,9 +1,8 @@
-//! The name table: the list of instances as discovery tells it. It begins with what the scheduler knew at
-//! its start, and is kept by a watch from when the module asks for one. Where the list may lack what counts as
-//! told, the module hears of that too.
+//! The client of discovery. The list of instances begins with what the scheduler knew at its start, and is kept by
+//! a watch from when the module asks for one. Where it may lack what counts as told, the module hears of that too.
 
 use std::future::Future;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::time::{Duration, Instant};
 
@@ -11,7 +10,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::{header, Request, Response, StatusCode};
-use nickelflow_engine::{ListKind, Membership};
+use nickelflow_engine::ListKind;
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
 use tokio::time::timeout;
@@ -21,6 +20,7 @@
 use crate::core::{Entry, Input};
 use crate::execution::host;
 use crate::json::{self, Field};
+use crate::list::{EntryNames, List};
 
 /// Discovery writes at least an empty line this often.
 const HEARTBEAT: Duration = Duration::from_secs(2);
@@ -29,7 +29,7 @@
 /// The list is taken for stale this much sooner, so that the core is told in time also where it gets little of a core.
 const STALE_MARGIN: Duration = Duration::from_millis(500);
 /// A call unanswered for this long may be lost; and for this much longer for each scheduler that may have asked
-/// before it. Discovery handles calls in turn, those that nobody waits for any more too, and takes [`Pace::CALL`] for
+/// before it. Discovery handles calls in turn, those that nobody waits for any more too, and takes [`WatchTiming::CALL`] for
 /// each: what all ask again in that time is less than it works off.
 const ANSWER: Duration = Duration::from_secs(1);
 const ANSWER_EACH: Duration = Duration::from_millis(80);
@@ -51,7 +51,7 @@
 
 /// How lists come, and the times that follow from it.
 #[derive(Clone, Copy)]
-pub struct Pace {
+pub struct WatchTiming {
     /// Lists are pushed to an agent beside the scheduler: what it has counts as told at once, and asking it
     /// costs nothing. Otherwise all schedulers ask one service.
     pub pushed: bool,
@@ -61,7 +61,7 @@
     pub grace: Duration,
 }
 
-impl Pace {
+impl WatchTiming {
     /// What discovery takes for a call, as it did on the days at size: 15 a second, given-up ones among them.
     pub const CALL: Duration = Duration::from_nanos(1_000_000_000 / 15);
 
@@ -95,10 +95,10 @@
     }
 
     /// From a watch that ended to the next one.
-    pub fn pause(&self, loss: Loss, rng: &mut fastrand::Rng) -> Duration {
+    pub fn pause(&self, loss: WatchEnd, rng: &mut fastrand::Rng) -> Duration {
         let others = if self.pushed { Duration::ZERO } else { SPREAD_EACH.saturating_mul(self.schedulers) };
         match loss {
-            Loss::Failed { waited } if !self.pushed => {
+            WatchEnd::Failed { waited } if !self.pushed => {
                 FAILED + (FAILED + others.min(4 * SPREAD)).mul_f64(rng.f64()) + waited.min(self.answer())
             }
             _ => {
@@ -109,78 +109,11 @@
     }
 }
 
-/// The names that stand in the list for the module's numbers.
-#[derive(Clone)]
-pub struct Words {
-    pub zones: Vec<String>,
-    pub kinds: Vec<String>,
-}
-
-pub struct List {
-    pub index: u64,
-    pub snapshot: bool,
-    pub entries: Vec<Entry>,
-    /// What was wrong with the entries that were left out.
-    pub skipped: Vec<String>,
-}
-
-/// Reads one object of discovery's form.
-pub fn list(list: &Field, words: &Words) -> Result<List, String> {
-    let (mut entries, mut skipped) = (vec![], vec![]);
-    for field in list.get("endpoints")?.items()? {
-        match entry(&field, words) {
-            Ok(entry) => entries.push(entry),
-            Err(why) => skipped.push(why),
-        }
-    }
-    let snapshot = list.opt("snapshot")?.map_or(Ok(false), |s| s.flag())?;
-    let unlike = |e: &Entry| e.zone as usize == words.zones.len() && e.kind as usize == words.kinds.len();
-    let named = !words.zones.is_empty() && !words.kinds.is_empty() && !entries.is_empty();
-    if snapshot && named && entries.iter().all(unlike) {
-        return Err(list.error("names no zone and no type of the settings: it is another deployment's"));
-    }
-    Ok(List { index: list.get("index")?.whole()?, snapshot, entries, skipped })
-}
-
-fn entry(field: &Field, words: &Words) -> Result<Entry, String> {
-    let statuses =
-        [("active", Membership::Ready), ("leaving", Membership::Draining), ("left", Membership::Gone)];
-    let membership = field.get("status")?.word(&statuses)?;
-    let number = |name: &str, words: &[String]| -> Result<u32, String> {
-        let Some(field) = field.opt(name)? else { return Ok(0) };
-        let text = field.text()?;
-        // One that the settings do not name is unlike all that they do.
-        Ok(words.iter().position(|word| word == text).unwrap_or(words.len()) as u32)
-    };
-    // Nothing new goes to one that leaves: that it does must not be missed for its address.
-    let nowhere = SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0));
-    let address = match (field.opt("address")?, membership) {
-        (Some(address), membership) => match (address.text()?.parse(), membership) {
-            (Ok(address), _) => address,
-            (Err(_), Membership::Ready) => return Err(address.error("must be an address with a port")),
-            (Err(_), _) => nowhere,
-        },
-        (None, Membership::Ready) => return Err(field.error("has no address")),
-        (None, _) => nowhere,
-    };
-    let since: u64 = field.opt("since_ms")?.map_or(Ok(0), |since| since.whole())?;
-    Ok(Entry {
-        name: field.get("name")?.text()?.to_owned(),
-        address,
-        zone: number("zone", &words.zones)?,
-        kind: number("type", &words.kinds)?,
-        cell: field.opt("group")?.map_or(Ok(0), |cell| cell.whole())?,
-        membership,
-        weight: field.opt("weight")?.map_or(Ok(1.0), |weight| weight.number())?,
-        started: (since > 0).then(|| since.saturating_mul(1_000_000)),
-    })
-}
-
-pub struct NameTable<P> {
+pub struct DiscoveryClient<P> {
     /// Where discovery is, and whether it has moved.
     pub discovery: watch::Receiver<SocketAddr>,
-    pub words: Words,
-    pub pace: Pace,
+    pub names: EntryNames,
+    pub timing: WatchTiming,
     pub rng: fastrand::Rng,
     pub queue: mpsc::UnboundedSender<Input<P>>,
     /// The module's request for a watch; where lists are pushed it makes none.
@@ -222,7 +155,7 @@
 
 /// How a watch was lost.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Loss {
+pub enum WatchEnd {
     /// No connection comes up: discovery has not heard of the call, or is cut off from it.
     Unreached,
     /// Nothing was heard any more, or ever: what it misses counts as told all the same.
@@ -314,16 +247,16 @@
     waited: Duration,
 }
 
-type Call = Pin<Box<dyn Future<Output = Result<Answered, (Loss, String)>> + Send>>;
+type Call = Pin<Box<dyn Future<Output = Result<Answered, (WatchEnd, String)>> + Send>>;
 
 /// Makes one call, and waits for its answer for as long as it is not dropped.
 async fn ask(
     mut connection: Connection,
     address: SocketAddr,
     since: u64,
-) -> Result<Answered, (Loss, String)> {
+) -> Result<Answered, (WatchEnd, String)> {
     let began = Instant::now();
-    let failed = |why| (Loss::Failed { waited: began.elapsed() }, why);
+    let failed = |why| (WatchEnd::Failed { waited: began.elapsed() }, why);
     let mut request = Request::new(Full::<Bytes>::default());
     let uri = format!("/v1/servers?follow=1&since={since}");
     *request.uri_mut() = uri.parse().map_err(|e| failed(format!("request: {e}")))?;
@@ -347,10 +280,10 @@
     std::future::pending().await
 }
 
-impl<P> NameTable<P> {
+impl<P> DiscoveryClient<P> {
     pub async fn run(self, known: List) {
         let (at, age) = watch::channel(Instant::now());
-        let (queue, stale, pushed) = (self.queue.clone(), self.pace.stale(), self.pace.pushed);
+        let (queue, stale, pushed) = (self.queue.clone(), self.timing.stale(), self.timing.pushed);
         tokio::select! {
             () = self.keep(known, Current { at, out_of_reach: true }) => {}
             // What an agent has counts as told at once, and what it has not does not.
@@ -362,7 +295,7 @@
         let mut index = known.index;
         self.tell(ListKind::Saved, known.entries);
         let mut moved_at = None;
-        if !self.pace.pushed {
+        if !self.timing.pushed {
             tokio::select! {
                 asked = self.asked.recv() => if asked.is_none() { return },
                 () = moved(&mut self.discovery) => moved_at = Some(Instant::now()),
@@ -381,7 +314,7 @@
             };
             warn!(%address, why, "watch ended");
             let moving = moved_at.is_some_and(|at: Instant| at.elapsed() < MOVING);
-            let pause = self.pace.pause(if moving { Loss::Ended } else { loss }, &mut self.rng);
+            let pause = self.timing.pause(if moving { WatchEnd::Ended } else { loss }, &mut self.rng);
             tokio::select! {
                 () = tokio::time::sleep(pause) => {}
                 () = moved(&mut discovery) => {
@@ -398,9 +331,9 @@
 
     /// Returns once discovery cannot be reached any more.
     async fn cut_off(&self, address: SocketAddr) {
-        let limit = self.pace.connect().max(Duration::from_millis(250));
+        let limit = self.timing.connect().max(Duration::from_millis(250));
         loop {
-            tokio::time::sleep(self.pace.reach()).await;
+            tokio::time::sleep(self.timing.reach()).await;
             if !reachable(address, limit).await {
                 return;
             }
@@ -410,7 +343,7 @@
     /// A connection to discovery.
     async fn connect(&self, address: SocketAddr, current: &mut Current) -> Result<Connection, String> {
         let began = Instant::now();
-        match Connection::open(address, self.pace.connect()).await {
+        match Connection::open(address, self.timing.connect()).await {
             Ok(connection) => {
                 current.reached();
                 Ok(connection)
@@ -418,7 +351,7 @@
             Err(why) => {
                 let there = match why {
                     Unconnected::Silent => false,
-                    Unconnected::Refused(_) => reachable(address, self.pace.connect()).await,
+                    Unconnected::Refused(_) => reachable(address, self.timing.connect()).await,
                 };
                 if !there {
                     current.unreached(began);
@@ -435,10 +368,11 @@
         address: SocketAddr,
         since: u64,
         current: &mut Current,
-    ) -> Result<Answered, (Loss, String)> {
+    ) -> Result<Answered, (WatchEnd, String)> {
         let mut first = None;
         loop {
-            let connection = self.connect(address, current).await.map_err(|why| (Loss::Unreached, why))?;
+            let connection =
+                self.connect(address, current).await.map_err(|why| (WatchEnd::Unreached, why))?;
             let mut call: Call = Box::pin(ask(connection, address, since));
             let lost = tokio::select! {
                 biased;
@@ -447,21 +381,21 @@
                     Ok(answered) => return Ok(answered),
                     Err(lost) => lost,
                 },
-                () = tokio::time::sleep(self.pace.answer()) => {
-                    if !self.pace.pushed {
+                () = tokio::time::sleep(self.timing.answer()) => {
+                    if !self.timing.pushed {
                         first.get_or_insert(call);
                     }
-                    (Loss::Silent, "no answer in time".to_owned())
+                    (WatchEnd::Silent, "no answer in time".to_owned())
                 }
-                () = self.cut_off(address), if !self.pace.pushed => {
-                    return Err((Loss::Unreached, "cut off before an answer".to_owned()));
+                () = self.cut_off(address), if !self.timing.pushed => {
+                    return Err((WatchEnd::Unreached, "cut off before an answer".to_owned()));
                 }
             };
             if first.is_none() {
                 return Err(lost);
             }
             warn!(%address, why = lost.1, "asked once more");
-            let pause = self.pace.pause(lost.0, &mut self.rng);
+            let pause = self.timing.pause(lost.0, &mut self.rng);
             tokio::select! {
                 answered = earlier(&mut first) => return Ok(answered),
                 () = tokio::time::sleep(pause) => {}
@@ -470,26 +404,32 @@
     }
 
     /// Keeps a watch, from the given version on, until it is lost.
-    async fn watch(&mut self, address: SocketAddr, index: &mut u64, current: &mut Current) -> (Loss, String) {
+    async fn watch(
+        &mut self,
+        address: SocketAddr,
+        index: &mut u64,
+        current: &mut Current,
+    ) -> (WatchEnd, String) {
         let Answered { _connection, answer, waited } = match self.call(address, *index, current).await {
             Ok(answered) => answered,
             Err(lost) => return lost,
         };
         info!(since = index, "watching");
         let since = Instant::now();
-        let ended = || if since.elapsed() < HEARTBEAT { Loss::Failed { waited } } else { Loss::Ended };
+        let ended =
+            || if since.elapsed() < HEARTBEAT { WatchEnd::Failed { waited } } else { WatchEnd::Ended };
         let mut lines = Lines::new(answer.into_body(), LONGEST_LINE);
         let mut object = Object::default();
         loop {
-            let line = match timeout(self.pace.silent(), lines.next()).await {
+            let line = match timeout(self.timing.silent(), lines.next()).await {
                 Ok(Ok(Some(line))) => line,
                 Ok(Ok(None)) => return (ended(), "discovery ended it".to_owned()),
                 Ok(Err(why)) => return (ended(), why),
-                Err(_) => return (Loss::Silent, "silent for too long".to_owned()),
+                Err(_) => return (WatchEnd::Silent, "silent for too long".to_owned()),
             };
             // A broken line may have held changes: the next watch asks for all since the last good one.
             let list = match object.take(&line).and_then(|whole| match whole {
-                Some(bytes) => list(&Field::root(&json::decode(&bytes)?), &self.words).map(Some),
+                Some(bytes) => List::decode(&Field::root(&json::decode(&bytes)?), &self.names).map(Some),
                 None => Ok(None),
             }) {
                 Ok(Some(list)) => list,
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -6,10 +6,11 @@
 mod connection;
 pub mod core;
 pub mod counters;
+pub mod discovery;
 pub mod execution;
 mod inlet;
 mod json;
-pub mod name_table;
+pub mod list;
 mod places;
 pub mod service_client;
 pub mod shutdown;
@@ -25,9 +26,9 @@
 use crate::config::Config;
 use crate::core::{Core, Entrance, Input, Order};
 use crate::counters::Shared;
+use crate::discovery::{DiscoveryClient, WatchTiming};
 use crate::execution::Instances;
 use crate::inlet::Visit;
-use crate::name_table::{NameTable, Pace};
 use crate::service_client::{Front, OpenIds};
 use crate::shutdown::Shutdown;
 
@@ -65,14 +66,15 @@
         }
         Order::Watch => drop(ask.send(())),
     };
-    let pace = Pace {
+    let timing = WatchTiming {
         pushed: !config.settings.must_subscribe,
         schedulers: config.settings.dispatchers,
         grace: config.links.grace,
     };
     let rng = fastrand::Rng::with_seed(config.seed);
-    let table = NameTable { discovery, words: config.words, pace, rng, queue: queue.clone(), asked };
-    tokio::spawn(table.run(config.known));
+    let client =
+        DiscoveryClient { discovery, names: config.entry_names, timing, rng, queue: queue.clone(), asked };
+    tokio::spawn(client.run(config.known));
     if let Some(told) = told {
         tokio::spawn(agreed::tell(told, config.names.tenants.clone(), queue.clone()));
     }
--- a/crates/daemon/tests/discovery.rs
+++ b/crates/daemon/tests/discovery.rs
@@ -11,14 +11,15 @@
 
 use common::{Program, PATIENCE};
 use nickelflow_daemon::core::Input;
-use nickelflow_daemon::name_table::{List, Loss, NameTable, Pace, Words, TOLD};
+use nickelflow_daemon::discovery::{DiscoveryClient, WatchEnd, WatchTiming, TOLD};
+use nickelflow_daemon::list::{EntryNames, List};
 use nickelflow_engine::ListKind;
 use rstest::rstest;
 use tokio::io::AsyncReadExt;
 use tokio::sync::{mpsc, watch};
 
-fn pace(pushed: bool, schedulers: u32, grace_ms: u64) -> Pace {
-    Pace { pushed, schedulers, grace: Duration::from_millis(grace_ms) }
+fn timing(pushed: bool, schedulers: u32, grace_ms: u64) -> WatchTiming {
+    WatchTiming { pushed, schedulers, grace: Duration::from_millis(grace_ms) }
 }
 
 // ---- the figures -----------------------------------------------------------------------------------------
@@ -28,18 +29,21 @@
     // Discovery answered 15 calls a second on the days at size, given-up ones among them.
     for schedulers in [1, 2, 30, 100, 1_000] {
         let queue = Duration::from_secs(1) * schedulers / 15;
-        let answer = pace(false, schedulers, 500).answer();
+        let answer = timing(false, schedulers, 500).answer();
         assert!(answer > queue, "{schedulers} schedulers give up before their turn");
     }
-    assert!(pace(false, u32::MAX, 500).answer() > pace(false, 1, 500).answer());
+    assert!(timing(false, u32::MAX, 500).answer() > timing(false, 1, 500).answer());
 }
 
 #[test]
 fn calls_that_are_asked_again_come_more_rarely_than_they_are_worked_off() {
     // All of them again and again, each after its wait: a queue that nobody is answered from must not grow by that.
     for schedulers in [1, 2, 30, 100, 300, 1_000, 100_000] {
-        let calls_per_s = f64::from(schedulers) / pace(false, schedulers, 500).answer().as_secs_f64();
-        assert!(calls_per_s * Pace::CALL.as_secs_f64() < 0.9, "{schedulers} schedulers: {calls_per_s}");
+        let calls_per_s = f64::from(schedulers) / timing(false, schedulers, 500).answer().as_secs_f64();
+        assert!(
+            calls_per_s * WatchTiming::CALL.as_secs_f64() < 0.9,
+            "{schedulers} schedulers: {calls_per_s}"
+        );
     }
 }
 
@@ -48,12 +52,13 @@
     let mut rng = fastrand::Rng::with_seed(1);
     for grace in [0, 200, 500, 2_000, 60_000] {
         for schedulers in [1, 2, 12] {
-            let pace = pace(false, schedulers, grace);
+            let timing = timing(false, schedulers, grace);
             // Even where the first new connection does not come up, and the last of all is answered last.
             let queue = Duration::from_secs(1) * schedulers / 15;
-            let pause = pace.pause(Loss::Silent, &mut rng).max(pace.pause(Loss::Unreached, &mut rng));
-            let anew = pace.silent() + 2 * (pause + pace.connect()) + queue;
-            assert!(anew < TOLD + pace.grace, "{schedulers} schedulers, {grace} ms: {anew:?}");
+            let pause =
+                timing.pause(WatchEnd::Silent, &mut rng).max(timing.pause(WatchEnd::Unreached, &mut rng));
+            let anew = timing.silent() + 2 * (pause + timing.connect()) + queue;
+            assert!(anew < TOLD + timing.grace, "{schedulers} schedulers, {grace} ms: {anew:?}");
         }
     }
 }
@@ -62,11 +67,16 @@
 fn an_agent_is_heard_again_within_the_grace() {
     let mut rng = fastrand::Rng::with_seed(1);
     for grace in [300, 500, 700, 2_000, 60_000] {
-        let pace = pace(true, 300, grace);
-        for loss in [Loss::Unreached, Loss::Silent, Loss::Ended, Loss::Failed { waited: pace.answer() }] {
+        let timing = timing(true, 300, grace);
+        for loss in [
+            WatchEnd::Unreached,
+            WatchEnd::Silent,
+            WatchEnd::Ended,
+            WatchEnd::Failed { waited: timing.answer() },
+        ] {
             // A call that it left unanswered, and the next one.
-            let heard = pace.answer() + pace.pause(loss, &mut rng);
-            assert!(heard < pace.grace * 3 / 4, "{grace} ms: {heard:?}");
+            let heard = timing.answer() + timing.pause(loss, &mut rng);
+            assert!(heard < timing.grace * 3 / 4, "{grace} ms: {heard:?}");
         }
     }
 }
@@ -121,10 +131,10 @@
 }
 
 /// From discovery's return to the last scheduler's new list, and how many calls were worked off until then.
-fn longest(pace: Pace, outage: Outage, lasts: Duration, seed: u64) -> (Duration, usize) {
+fn longest(timing: WatchTiming, outage: Outage, lasts: Duration, seed: u64) -> (Duration, usize) {
     let mut rng = fastrand::Rng::with_seed(seed);
     let mut due = BinaryHeap::new();
-    let mut calls = vec![0; pace.schedulers as usize];
+    let mut calls = vec![0; timing.schedulers as usize];
     let mut has_list = vec![false; calls.len()];
     // The call that each made first, and still waits for.
     let mut first: Vec<Option<u32>> = vec![None; calls.len()];
@@ -134,10 +144,10 @@
     for who in 0..calls.len() {
         // A watch that ends is missed at once, a silent one only later; its last line is up to a heartbeat old.
         let (missed, loss) = match outage {
-            Outage::Refuses | Outage::Fails | Outage::CutOffAsking => (Duration::ZERO, Loss::Ended),
-            _ => (pace.silent() - Duration::from_secs(2).mul_f64(rng.f64()), Loss::Silent),
+            Outage::Refuses | Outage::Fails | Outage::CutOffAsking => (Duration::ZERO, WatchEnd::Ended),
+            _ => (timing.silent() - Duration::from_secs(2).mul_f64(rng.f64()), WatchEnd::Silent),
         };
-        due.push(Reverse((missed + pace.pause(loss, &mut rng), Happens::Calls { who, call: 0 })));
+        due.push(Reverse((missed + timing.pause(loss, &mut rng), Happens::Calls { who, call: 0 })));
     }
     while let Some(Reverse((now, happens))) = due.pop() {
         let mut later = |after: Duration, happens| due.push(Reverse((now + after, happens)));
@@ -151,38 +161,43 @@
             Happens::Calls { who, call } if call == calls[who] && !has_list[who] => {
                 let again = Happens::Calls { who, call: call + 1 };
                 let ends = match outage {
-                    Outage::Refuses if down => Some((Duration::ZERO, Loss::Unreached)),
-                    Outage::CutOff if down => Some((pace.connect(), Loss::Unreached)),
-                    Outage::CutOffAsking if down && call > 0 => Some((pace.connect(), Loss::Unreached)),
-                    Outage::Fails if down => Some((Duration::ZERO, Loss::Failed { waited: Duration::ZERO })),
+                    Outage::Refuses if down => Some((Duration::ZERO, WatchEnd::Unreached)),
+                    Outage::CutOff if down => Some((timing.connect(), WatchEnd::Unreached)),
+                    Outage::CutOffAsking if down && call > 0 => Some((timing.connect(), WatchEnd::Unreached)),
+                    Outage::Fails if down => {
+                        Some((Duration::ZERO, WatchEnd::Failed { waited: Duration::ZERO }))
+                    }
                     _ => None,
                 };
                 if let Some((after, loss)) = ends {
                     calls[who] += 1;
-                    later(after + pace.pause(loss, &mut rng), again);
+                    later(after + timing.pause(loss, &mut rng), again);
                     continue;
                 }
                 queue.push_back((who, call));
-                later(pace.answer(), Happens::GivesUp { who, call });
-                later(pace.reach(), Happens::Looks { who, call });
+                later(timing.answer(), Happens::GivesUp { who, call });
+                later(timing.reach(), Happens::Looks { who, call });
             }
             Happens::GivesUp { who, call } if call == calls[who] && !has_list[who] => {
                 calls[who] += 1;
                 first[who].get_or_insert(call);
-                later(pace.pause(Loss::Silent, &mut rng), Happens::Calls { who, call: call + 1 });
+                later(timing.pause(WatchEnd::Silent, &mut rng), Happens::Calls { who, call: call + 1 });
             }
             Happens::Looks { who, call } if call == calls[who] && !has_list[who] => {
                 let reached = !(down && matches!(outage, Outage::CutOff | Outage::CutOffAsking));
-                let after = if reached { Duration::ZERO } else { pace.connect() };
+                let after = if reached { Duration::ZERO } else { timing.connect() };
                 later(after, Happens::Knows { who, call, reached });
             }
             Happens::Knows { who, call, reached } if call == calls[who] && !has_list[who] => {
                 if reached {
-                    later(pace.reach(), Happens::Looks { who, call });
+                    later(timing.reach(), Happens::Looks { who, call });
                 } else {
                     calls[who] += 1;
                     first[who] = None;
-                    later(pace.pause(Loss::Unreached, &mut rng), Happens::Calls { who, call: call + 1 });
+                    later(
+                        timing.pause(WatchEnd::Unreached, &mut rng),
+                        Happens::Calls { who, call: call + 1 },
+                    );
                 }
             }
             Happens::Answers { who, call } => {
@@ -200,7 +215,7 @@
         if !busy && !down {
             if let Some((who, call)) = queue.pop_front() {
                 busy = true;
-                due.push(Reverse((now + Pace::CALL, Happens::Answers { who, call })));
+                due.push(Reverse((now + WatchTiming::CALL, Happens::Answers { who, call })));
             }
         }
     }
@@ -208,22 +223,22 @@
 }
 
 /// The formula of docs/design/races.md: the longest time to the new list from discovery's return.
-fn bound(pace: Pace, outage: Outage, lasts: Duration) -> Duration {
-    let short = (pace.grace / 8).clamp(Duration::from_millis(20), Duration::from_millis(250))
-        + Duration::from_secs(1).min(Duration::from_millis(10) * pace.schedulers);
+fn bound(timing: WatchTiming, outage: Outage, lasts: Duration) -> Duration {
+    let short = (timing.grace / 8).clamp(Duration::from_millis(20), Duration::from_millis(250))
+        + Duration::from_secs(1).min(Duration::from_millis(10) * timing.schedulers);
     let failed =
-        Duration::from_secs(1) + Duration::from_secs(4).min(Duration::from_millis(10) * pace.schedulers);
-    let all = Pace::CALL * pace.schedulers;
+        Duration::from_secs(1) + Duration::from_secs(4).min(Duration::from_millis(10) * timing.schedulers);
+    let all = WatchTiming::CALL * timing.schedulers;
     // A watch that fell silent is missed so long after the outage's end.
-    let missed = pace.silent().saturating_sub(lasts);
+    let missed = timing.silent().saturating_sub(lasts);
     match outage {
         Outage::Refuses => short + all,
         Outage::Fails => failed + all,
-        Outage::CutOff => (missed + short).max(pace.connect() + short) + all,
+        Outage::CutOff => (missed + short).max(timing.connect() + short) + all,
         // The last call was lost up to `short` after the cut began; whether the look after it comes in time.
-        Outage::CutOffAsking if lasts > short + pace.reach() => pace.connect() + short + all,
-        Outage::CutOffAsking => pace.answer() + 2 * short + all,
-        Outage::Loses => missed.max(pace.answer()) + short + all,
+        Outage::CutOffAsking if lasts > short + timing.reach() => timing.connect() + short + all,
+        Outage::CutOffAsking => timing.answer() + 2 * short + all,
+        Outage::Loses => missed.max(timing.answer()) + short + all,
         Outage::Halts => {
             // The first call of each is answered, whatever was asked beside it.
             missed + short + all
@@ -244,24 +259,24 @@
     )]
     outage: Outage,
 ) {
-    let pace = pace(false, schedulers, 500);
+    let timing = timing(false, schedulers, 500);
     let seeds = u64::from(6_000 / schedulers).clamp(20, 100);
-    let mut table = BTreeMap::new();
+    let mut worst_of = BTreeMap::new();
     for lasts in [0, 500, 2_000, 3_000, 5_000, 8_000, 20_000, 60_000].map(Duration::from_millis) {
         for seed in 0..seeds {
-            let (took, worked_off) = longest(pace, outage, lasts, seed);
-            let bound = bound(pace, outage, lasts);
+            let (took, worked_off) = longest(timing, outage, lasts, seed);
+            let bound = bound(timing, outage, lasts);
             assert!(took <= bound, "{schedulers}, {outage:?} for {lasts:?}: {took:?} and not {bound:?}");
             // Up to 30 schedulers always; up to 80 where nobody waits for a call that was lost, or that a cut hid.
             let noticed =
                 matches!(outage, Outage::Refuses | Outage::Fails) || lasts >= Duration::from_secs(3);
             let soon = schedulers <= 30 || schedulers <= 80 && noticed && outage != Outage::Loses;
             assert!(!soon || took < TOLD, "{schedulers}, {outage:?} for {lasts:?}: {took:?}");
-            let worst = table.entry(lasts).or_insert((took, worked_off));
+            let worst = worst_of.entry(lasts).or_insert((took, worked_off));
             *worst = (took.max(worst.0), worked_off.max(worst.1));
         }
     }
-    println!("{schedulers} schedulers, {outage:?}: {table:?}");
+    println!("{schedulers} schedulers, {outage:?}: {worst_of:?}");
 }
 
 // ---- with real connections -------------------------------------------------------------------------------
@@ -333,28 +348,28 @@
 
 type Told = mpsc::UnboundedReceiver<Input<()>>;
 
-/// A table that has been asked for a watch, and what it tells the core.
-fn table(discovery: SocketAddr, pushed: bool) -> Told {
-    table_that_moves(discovery, pushed).0
+/// A client that has been asked for a watch, and what it tells the core.
+fn client(discovery: SocketAddr, pushed: bool) -> Told {
+    client_that_moves(discovery, pushed).0
 }
 
 /// The same, and the way to move discovery.
-fn table_that_moves(discovery: SocketAddr, pushed: bool) -> (Told, watch::Sender<SocketAddr>) {
+fn client_that_moves(discovery: SocketAddr, pushed: bool) -> (Told, watch::Sender<SocketAddr>) {
     let (queue, told) = mpsc::unbounded_channel();
     let (ask, asked) = mpsc::unbounded_channel();
-    ask.send(()).expect("a table");
+    ask.send(()).expect("a client");
     let (sender, discovery) = watch::channel(discovery);
-    let table = NameTable {
+    let client = DiscoveryClient {
         discovery,
-        words: Words { zones: vec![], kinds: vec![] },
-        pace: pace(pushed, 1, 500),
+        names: EntryNames { zones: vec![], kinds: vec![] },
+        timing: timing(pushed, 1, 500),
         rng: fastrand::Rng::with_seed(1),
         queue,
         asked,
     };
     tokio::spawn(async move {
         let _asks = ask;
-        table.run(List { index: 41, snapshot: true, entries: vec![], skipped: vec![] }).await;
+        client.run(List { index: 41, snapshot: true, entries: vec![], skipped: vec![] }).await;
     });
     (told, sender)
 }
@@ -377,7 +392,7 @@
 #[tokio::test]
 async fn a_list_that_discovery_does_not_renew_is_stale_until_it_speaks() {
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
-    let mut told = table(listener.local_addr().expect("its address"), false);
+    let mut told = client(listener.local_addr().expect("its address"), false);
     let mut streams = vec![];
     assert_eq!(next(&mut told).await, ListKind::Saved);
     tokio::select! {
@@ -402,7 +417,7 @@
 #[tokio::test]
 async fn what_discovery_cannot_be_asked_for_makes_no_list_stale_and_what_it_could_does() {
     let (socket, address) = closed();
-    let mut told = table(address, false);
+    let mut told = client(address, false);
     assert_eq!(next(&mut told).await, ListKind::Saved);
     let stale = tokio::time::timeout(TOLD + Duration::from_secs(1), next(&mut told)).await;
     assert!(stale.is_err(), "stale while discovery could not be reached");
@@ -417,7 +432,7 @@
 #[tokio::test]
 async fn what_an_agent_has_not_is_not_told_and_makes_no_list_stale() {
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
-    let mut told = table(listener.local_addr().expect("its address"), true);
+    let mut told = client(listener.local_addr().expect("its address"), true);
     assert_eq!(next(&mut told).await, ListKind::Saved);
     let mut streams = vec![];
     let stale = tokio::time::timeout(TOLD + Duration::from_secs(1), async {
@@ -434,11 +449,11 @@
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let other = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("its address");
-    let mut stays = table(address, false);
-    let (mut moves, discovery) = table_that_moves(address, false);
+    let mut stays = client(address, false);
+    let (mut moves, discovery) = client_that_moves(address, false);
     assert_eq!(next(&mut stays).await, ListKind::Saved);
     assert_eq!(next(&mut moves).await, ListKind::Saved);
-    discovery.send(other.local_addr().expect("its address")).expect("a table");
+    discovery.send(other.local_addr().expect("its address")).expect("a client");
     let (mut streams, mut others) = (vec![], vec![]);
     tokio::select! {
         kind = next(&mut moves) => assert_eq!(kind, ListKind::Stale),
