Make the test of a list that is stale sooner after a move fail without its guard

Cause: both clients began together, so that without `Current::moved` both lists were stale in the same turn and the test passed by chance (seen). The one that moves now begins after the other's second call, about 1.1 s later: with the guard it is stale first, without it second. Seen failing without the guard, passing with it.

--- a/crates/daemon/tests/discovery.rs
+++ b/crates/daemon/tests/discovery.rs
@@ -450,11 +450,16 @@
     let other = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("its address");
     let mut stays = client(address, false);
-    let (mut moves, discovery) = client_that_moves(address, false);
     assert_eq!(next(&mut stays).await, ListKind::Saved);
+    // The one that moves begins later, when the other has asked once more: unmoved, its list would be stale later.
+    let mut streams = vec![];
+    for _ in 0..2 {
+        streams.push(listener.accept().await.expect("a call").0);
+    }
+    let (mut moves, discovery) = client_that_moves(address, false);
     assert_eq!(next(&mut moves).await, ListKind::Saved);
     discovery.send(other.local_addr().expect("its address")).expect("a client");
-    let (mut streams, mut others) = (vec![], vec![]);
+    let mut others = vec![];
     tokio::select! {
         kind = next(&mut moves) => assert_eq!(kind, ListKind::Stale),
         kind = next(&mut stays) => panic!("{kind:?}"),
