--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -26,7 +26,7 @@
 pub type End = nickelflow_engine::End<Bytes>;
 /// The single final answer to a job.
 pub type Answer = nickelflow_engine::Answer<Bytes>;
-/// One line of the name table.
+/// One entry of the list of instances.
 pub type Entry = Instance<SocketAddr>;
 
 /// The engine's clock: monotonic, and anchored once to Unix time so that the start times of instances, which
@@ -312,7 +312,9 @@
             }
             Input::Ending { by } => Happened::Ending { by: self.clock.at(by) },
             Input::Listed { kind, entries } => {
-                self.counters.lists.add();
+                if kind != ListKind::Stale {
+                    self.counters.lists.add();
+                }
                 Happened::Listed { kind, instances: entries }
             }
         };
--- a/crates/decisions/tests/scenarios.rs
+++ b/crates/decisions/tests/scenarios.rs
@@ -318,6 +318,162 @@
     }
 }
 
+#[test]
+fn after_a_failed_call_it_subscribes_again_soon_however_often_it_failed() {
+    // A change counts as told 6 s after the list service had it and could be reached; of that the pause is a part.
+    for (dispatchers, most) in [(2, 780 * MS), (30, 1_200 * MS), (80, 1_950 * MS)] {
+        let mut s = Settings { dispatchers, ..settings(vec![class(Effect::Safe)]) };
+        (s.must_subscribe, s.contract.must_ask) = (true, 40 * S);
+        let mut b = Bench::new(s);
+        b.workers(ListKind::Saved, vec![entry(0)]);
+        for _ in 0..40 {
+            b.take();
+            b.workers(ListKind::Failed, vec![]);
+            b.pass(most);
+            let asked = b.actions.iter().filter(|a| **a == Action::Subscribe).count();
+            assert_eq!(asked, 1, "{dispatchers} dispatchers: still waiting");
+        }
+    }
+}
+
+// ---- a list that may be stale ----------------------------------------------------------------------------
+
+#[test]
+fn with_a_stale_list_a_worker_is_open_by_its_own_word_only() {
+    let patient = Class { aim: 4 * S, ..class(Effect::Safe) };
+    let mut b = Bench::open(settings(vec![patient]), vec![entry(0), entry(1)], 9.0);
+    b.pass(2 * S);
+    b.workers(ListKind::Stale, vec![]);
+    b.ask(0);
+    assert!(b.sends(0).is_empty(), "sent by a list that may be stale");
+    b.pass(400 * MS);
+    assert!(b.probes(0) >= 1 && b.probes(1) >= 1, "not asked whether they take work");
+    // One that leaves turns work away, and says so.
+    b.event(Event::Probed { worker: WorkerId(0), outcome: Outcome::Error, report: None });
+    assert!(b.sends(0).is_empty());
+    b.event(Event::Probed { worker: WorkerId(1), outcome: Outcome::Ok, report: Some(free(9.0)) });
+    assert_eq!(b.sends(0), [1]);
+    // Its word is soon too old.
+    b.pass(1_100 * MS);
+    b.ask(1);
+    assert!(b.sends(1).is_empty(), "sent by a word that is too old");
+}
+
+#[test]
+fn a_probe_that_was_never_made_is_no_word_of_the_worker() {
+    let mut b = Bench::open(settings(vec![class(Effect::Safe)]), vec![entry(0)], 9.0);
+    b.pass(2 * S);
+    b.workers(ListKind::Stale, vec![]);
+    b.pass(400 * MS);
+    b.event(Event::Probed { worker: WorkerId(0), outcome: Outcome::NotSent, report: None });
+    b.ask(0);
+    assert!(b.sends(0).is_empty());
+}
+
+#[rstest]
+#[case(ListKind::Changes, vec![], 1)]
+#[case(ListKind::Full, vec![entry(0)], 1)]
+#[case(ListKind::Saved, vec![entry(0)], 0)]
+#[case(ListKind::Failed, vec![], 0)]
+fn news_of_the_list_service_ends_it(
+    #[case] kind: ListKind,
+    #[case] entries: Vec<WorkerEntry>,
+    #[case] sends: usize,
+) {
+    let mut b = Bench::open(settings(vec![class(Effect::Safe)]), vec![entry(0)], 9.0);
+    b.pass(2 * S);
+    b.workers(ListKind::Stale, vec![]);
+    b.ask(0);
+    b.workers(kind, entries);
+    assert_eq!(b.sends(0).len(), sends, "{kind:?}");
+    b.ask(1);
+    assert_eq!(b.sends(1).len(), sends, "{kind:?}");
+}
+
+#[test]
+fn one_of_many_dispatchers_loses_next_to_nothing_to_a_stale_list() {
+    // It sends only right after a report anyhow. Some workers are full, some say that they leave.
+    let play = |seed, stale: bool| {
+        let mut b = one_of_a_hundred(seed);
+        b.workers(ListKind::Full, (0..60).map(entry).collect());
+        b.pass(2 * S);
+        if stale {
+            b.workers(ListKind::Stale, vec![]);
+        }
+        let (mut sent, mut probes) = (0, 0);
+        for id in 0..200 {
+            b.take();
+            b.event(keyed(id, id % 40 + 1_000 * seed));
+            let mut read = 0;
+            while let Some(Action::Probe { worker }) = b.actions.get(read).cloned() {
+                let outcome = if worker.0 % 4 == 0 { Outcome::Error } else { Outcome::Ok };
+                let report = (outcome == Outcome::Ok).then(|| free(f64::from(worker.0 % 3) * 3.0));
+                b.event(Event::Probed { worker, outcome, report });
+                read += 1;
+            }
+            probes += read;
+            sent += b.sends(id).len();
+            if !b.sends(id).is_empty() {
+                b.event(Event::Progress { request: RequestId(id), attempt: 0 });
+                b.outcome(id, 0, Outcome::Ok);
+            }
+            b.pass(60 * MS);
+        }
+        (sent, probes)
+    };
+    for seed in 0..20 {
+        let (current, stale) = (play(seed, false), play(seed, true));
+        println!("seed {seed}: (sent, probes) {current:?}, stale {stale:?}");
+        assert_eq!(current, stale);
+        assert!(current.0 > 100, "{current:?}");
+    }
+}
+
+#[test]
+fn one_of_few_dispatchers_serves_on_by_the_words_of_its_workers() {
+    let play = |seed, stale: bool| {
+        let mut b = Bench::seeded(settings(vec![class(Effect::Safe)]), seed);
+        b.report = Some(free(9.0));
+        b.workers(ListKind::Full, (0..8).map(entry).collect());
+        b.pass(S);
+        b.take();
+        if stale {
+            b.workers(ListKind::Stale, vec![]);
+        }
+        for id in 0..500 {
+            b.ask(id);
+            b.pass(10 * MS);
+            if !b.sends(id).is_empty() {
+                b.event(Event::Progress { request: RequestId(id), attempt: 0 });
+                b.outcome(id, 0, Outcome::Ok);
+            }
+        }
+        let sent = (0..500).filter(|id| !b.sends(*id).is_empty()).count();
+        (sent, (0..8).map(|worker| b.probes(worker)).sum::<usize>())
+    };
+    for seed in 0..20 {
+        let (current, stale) = (play(seed, false), play(seed, true));
+        println!("seed {seed}: (sent, probes) {current:?}, stale {stale:?}");
+        assert_eq!(current.0, 500);
+        assert!(stale.0 >= 490, "{stale:?}");
+    }
+}
+
+#[test]
+fn with_a_stale_list_and_no_probes_nothing_is_sent() {
+    let mut s = settings(vec![class(Effect::Safe)]);
+    s.can_probe = false;
+    let mut b = Bench::new(s);
+    b.workers(ListKind::Full, vec![entry(0)]);
+    b.workers(ListKind::Stale, vec![]);
+    b.ask(0);
+    b.pass(5 * S);
+    assert!(b.sends(0).is_empty() && b.refused(0));
+    b.workers(ListKind::Changes, vec![]);
+    b.ask(1);
+    assert_eq!(b.sends(1), [0]);
+}
+
 // ---- rule 4: cold workers --------------------------------------------------------------------------------
 
 #[test]
