--- a/crates/daemon/tests/exchanges.rs
+++ b/crates/daemon/tests/exchanges.rs
@@ -3,24 +3,24 @@
 //! A file is a list of blocks, each `--- WHO VERB`, then lines. WHO is a service client (`c1`), a connection
 //! to an instance (`a.1`, in the order of accepting), the watch (`d.1`) or the `program`. Verbs:
 //! `sends` (the lines with CR LF), `gets` (one whole message, compared; `*` stands for anything), `chunk`
-//! (each line as a chunk), `ends` (the last chunk), `closes` (with a reset if so given), `closed`; `crowds` and `clears` (new
+//! (each line as a chunk), `ends` (the last chunk), `closes` (with a reset if so given), `closed` (by a reset or not), `ended`
+//! (closed without one); `crowds` and `clears` (new
 //! connections to an instance whose name begins with x do not come up in between). The
 //! program: `config` (replacements `OLD -> NEW` in config.json), `knows` (instances), `stops` (SIGTERM),
 //! `prints` (SIGUSR1), `rereads` (a new file and
 //! SIGHUP: the name of a new discovery and replacements for this once, or the file as it stands), `logs` (waits for a line like it), `exits` (with that status).
 
+mod common;
+
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
-use std::sync::mpsc::{channel, Receiver};
-use std::time::{Duration, Instant};
+use std::net::{Shutdown, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::time::Duration;
 
+use common::{accept, like, narrow, Program, PATIENCE};
 use rstest::rstest;
 
-/// Only so that a broken program fails the test instead of hanging it.
-const PATIENCE: Duration = Duration::from_secs(10);
 /// A connection that is not up by then waits for its place; on loopback others take microseconds.
 const CROWDED: Duration = Duration::from_millis(300);
 
@@ -30,64 +30,23 @@
     known: Vec<String>,
     listeners: HashMap<String, TcpListener>,
     streams: HashMap<String, BufReader<TcpStream>>,
-    program: Option<(Child, Receiver<String>, String)>,
+    program: Option<Program>,
     /// What keeps others from connecting.
     crowd: Vec<TcpStream>,
 }
 
 impl Drop for Play {
     fn drop(&mut self) {
-        if let Some((child, ..)) = &mut self.program {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
+        self.program = None;
         let _ = std::fs::remove_file(&self.file);
     }
 }
 
-/// Whether the text is like the pattern, in which `*` stands for anything.
-fn like(pattern: &str, text: &str) -> bool {
-    match pattern.split_once('*') {
-        None => pattern == text,
-        Some((start, rest)) => text.strip_prefix(start).is_some_and(|text| {
-            let mut ends = (0..=text.len()).filter(|n| text.is_char_boundary(*n));
-            ends.any(|n| like(rest, &text[n..]))
-        }),
-    }
-}
-
-/// A listener that a single connection fills, until it is accepted.
-fn narrow() -> TcpListener {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_io().build().expect("a runtime");
-    let _inside = runtime.enter();
-    let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
-    socket.bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a port");
-    let listener = socket.listen(0).expect("to listen").into_std().expect("a listener");
-    listener.set_nonblocking(false).expect("a listener");
-    listener
-}
-
-/// Accepts within the patience: a connection that never comes fails the test.
-fn accept(listener: &TcpListener, who: &str) -> TcpStream {
-    listener.set_nonblocking(true).expect("a listener");
-    let end = Instant::now() + PATIENCE;
-    loop {
-        match listener.accept() {
-            Ok((stream, _)) => {
-                stream.set_nonblocking(false).expect("a stream");
-                return stream;
-            }
-            Err(_) if Instant::now() < end => std::thread::sleep(Duration::from_millis(2)),
-            Err(e) => panic!("{who}: no connection came: {e}"),
-        }
-    }
-}
-
 impl Play {
     fn listener(&mut self, name: &str) -> String {
         let listen = || {
             if name.starts_with('x') {
-                narrow()
+                narrow(0)
             } else {
                 TcpListener::bind("127.0.0.1:0").expect("a port")
             }
@@ -104,23 +63,11 @@
         let own = self.listener("d").replace(':', "-");
         self.file = std::env::temp_dir().join(format!("nickelflow-{own}.json"));
         self.write_config("d");
-        let mut child = Command::new(env!("CARGO_BIN_EXE_nickelflow"))
-            .env_clear()
-            .env("RELAY_CONFIG", &self.file)
-            // What has been decided is an event to wait for.
-            .env("NICKELFLOW_LOG", "info,nickelflow_daemon::core=debug")
-            .stderr(Stdio::piped())
-            .spawn()
-            .expect("the program starts");
-        let (sender, lines) = channel();
-        let log = BufReader::new(child.stderr.take().expect("its log"));
-        std::thread::spawn(move || log.lines().map_while(Result::ok).try_for_each(|line| sender.send(line)));
-        let first = lines.recv_timeout(PATIENCE).expect("a first line");
-        let address = first.rsplit("listen=").next().unwrap_or_default().to_owned();
-        if !first.contains("listen=") {
-            eprintln!("{first}");
+        let program = Program::start(&self.file, None);
+        if !program.first.contains("listen=") {
+            eprintln!("{}", program.first);
         }
-        self.program = Some((child, lines, if first.contains("listen=") { address } else { first }));
+        self.program = Some(program);
     }
 
     fn replace(&mut self, lines: &[&str]) {
@@ -143,16 +90,19 @@
     fn entry(&mut self, text: &str) -> String {
         let (name, status) = text.split_once(' ').unwrap_or((text, "active"));
         let address = self.listener(name);
-        format!(
-            r#"{{"name":"{name}","address":"{address}","zone":"langnau","type":"w5","group":1,"status":"{status}","weight":1.0,"since_ms":0}}"#
-        )
+        common::entry(name, &address, status)
+    }
+
+    fn program(&mut self) -> &mut Program {
+        self.program.as_mut().expect("a program")
     }
 
     fn stream(&mut self, who: &str) -> &mut BufReader<TcpStream> {
         if !self.streams.contains_key(who) {
             let stream = match who.split_once('.') {
                 Some((name, _)) => accept(&self.listeners[name], who),
-                None => TcpStream::connect(&self.program.as_ref().expect("a program").2).expect("to connect"),
+                None => TcpStream::connect(&self.program.as_ref().expect("a program").address)
+                    .expect("to connect"),
             };
             stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
             self.streams.insert(who.to_owned(), BufReader::new(stream));
@@ -187,27 +137,6 @@
         lines
     }
 
-    fn logs(&mut self, pattern: &str) {
-        let (_, lines, first) = self.program.as_ref().expect("a program");
-        if like(pattern, first) {
-            return;
-        }
-        let mut seen = vec![];
-        let end = Instant::now() + PATIENCE;
-        while let Ok(line) = lines.recv_timeout(end.saturating_duration_since(Instant::now())) {
-            if like(pattern, &line) {
-                return;
-            }
-            seen.push(line);
-        }
-        panic!("no line like {pattern:?} in {seen:#?}");
-    }
-
-    fn signal(&mut self, signal: &str) {
-        let pid = self.program.as_ref().expect("a program").0.id().to_string();
-        assert!(Command::new("kill").args([signal, &pid]).status().expect("kill runs").success());
-    }
-
     fn block(&mut self, who: &str, verb: &str, lines: &[&str]) {
         match (who, verb) {
             ("program", "config") => return self.replace(lines),
@@ -215,8 +144,8 @@
             _ => self.start(),
         }
         match (who, verb) {
-            ("program", "stops") => self.signal("-TERM"),
-            ("program", "prints") => self.signal("-USR1"),
+            ("program", "stops") => self.program().signal("-TERM"),
+            ("program", "prints") => self.program().signal("-USR1"),
             ("program", "rereads") => {
                 match lines[0].strip_prefix('{') {
                     Some(_) => std::fs::write(&self.file, lines[0]).expect("a config file"),
@@ -227,11 +156,11 @@
                         self.config = own;
                     }
                 }
-                self.signal("-HUP");
+                self.program().signal("-HUP");
             }
-            ("program", "logs") => lines.iter().for_each(|line| self.logs(line)),
+            ("program", "logs") => lines.iter().for_each(|line| drop(self.program().logs(line))),
             ("program", "exits") => {
-                let status = self.program.as_mut().expect("a program").0.wait().expect("its status");
+                let status = self.program().child.wait().expect("its status");
                 assert_eq!(status.code().map(|code| code.to_string()).as_deref(), Some(lines[0]));
             }
             (_, "sends") => {
@@ -271,6 +200,11 @@
                 let timed_out = |e: &std::io::Error| e.kind() == std::io::ErrorKind::WouldBlock;
                 assert!(!read.as_ref().is_err_and(timed_out) && rest.is_empty(), "{who}: {read:?} {rest:?}");
             }
+            (_, "ended") => {
+                let mut rest = vec![];
+                let read = self.stream(who).read_to_end(&mut rest);
+                assert!(read.is_ok() && rest.is_empty(), "{who}: {read:?} {rest:?}");
+            }
             (_, "gets") => {
                 let got = self.message(who);
                 let same = got.len() == lines.len() && lines.iter().zip(&got).all(|(p, line)| like(p, line));
@@ -284,10 +218,8 @@
 #[rstest]
 fn exchange(#[files("tests/exchanges/*.txt")] path: PathBuf) {
     let text = std::fs::read_to_string(&path).expect("the exchange");
-    let config = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/config.json");
-    let config = std::fs::read_to_string(config).expect("the config");
     let mut play = Play {
-        config,
+        config: common::config(&[]),
         file: PathBuf::new(),
         known: vec![],
         listeners: HashMap::new(),
