Close a connection that is turned away without a reset over its unread request

Seen with the new exchange turned_away: ten clients hold the ten places of 64 descriptors, the eleventh's request is there before it is accepted. Lines at fault: the turn-away branch of serve in places.rs. Ruled out: TCP_NODELAY is set on it. Change: what is there is read, once, up to 16 KiB, before the close. And where the connections beyond the places are all in use by ones that are closing, those get their turn before the newcomer is judged and not after it, and nobody is told to go for one that is turned away all the same.

--- a/crates/daemon/src/places.rs
+++ b/crates/daemon/src/places.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 use std::future::poll_fn;
 use std::future::Future;
+use std::io::{Read, Write};
 use std::pin::{pin, Pin};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::Poll;
@@ -72,9 +73,17 @@
         self.held.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn crowded(&self) -> bool {
+        self.held().visits.len() >= self.most + SPARE
+    }
+
     /// A place for a newcomer, for which another may be told to go; `None` if all are in use.
     fn take(self: &Arc<Self>, visit: &Arc<Visit>) -> Option<Place> {
         let mut held = self.held();
+        if held.visits.len() >= self.most + SPARE {
+            // Nor is another told to go for one that gets no place.
+            return None;
+        }
         let idle = held.visits.values().filter_map(|visit| Some((visit.rank()?, visit)));
         let idle: Vec<_> = idle.filter(|((rank, _), _)| *rank == IDLE_RANK).collect();
         if idle.len() > self.most / IDLE_PART {
@@ -87,9 +96,6 @@
             ranked.min_by_key(|(rank, _)| *rank)?.1.tell_to_end();
             self.counters.shed.add();
         }
-        if held.visits.len() >= self.most + SPARE {
-            return None;
-        }
         let number = held.next;
         held.next += 1;
         held.visits.insert(number, visit.clone());
@@ -124,10 +130,14 @@
                 front.counters.accepted.add();
                 let _ = stream.set_nodelay(true);
                 let visit = Visit::begin();
+                if places.crowded() {
+                    // Those that have been shed get to close first.
+                    tokio::task::yield_now().await;
+                }
                 let Some(place) = places.take(&visit) else {
                     front.counters.turned_away.add();
-                    let _ = stream.try_write(&words(CROWDED));
-                    // Those that have been shed get to close before the next comes.
+                    turn_away(stream);
+                    // What is under way goes before those that come again at once.
                     tokio::task::yield_now().await;
                     continue;
                 };
@@ -146,6 +156,15 @@
     places.empty().await;
 }
 
+/// Tells a client that there is no place for it, and closes.
+fn turn_away(stream: TcpStream) {
+    // Not by its readiness: of a connection that was accepted just now nothing is known yet.
+    let Ok(mut stream) = stream.into_std() else { return };
+    let _ = stream.write(&words(CROWDED));
+    // Closed over its unread request, the connection is reset, and the answer may go with it.
+    let _ = stream.read(&mut [0; LARGEST_HEAD]);
+}
+
 /// A whole answer to a request that hyper never gets to see.
 fn words(Refusal(status, why): Refusal) -> Vec<u8> {
     let length = why.len() + 1;
