Share out descriptors by one sum, also where the settings allow fewer than 64

Today 48 are set aside and 16 left at the least, so that 32 allowed ones were shared out as 64; at 64 and more the sums add up (32 of our own, 16 for connections that are closing, of the rest two fifths for instances): seen at most 47 of 64, 194 of 256, 650 of 1,024 in use. Change: Descriptors in lib.rs says what each part is for, with the same figures from 64 on, and less of each below.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -31,9 +31,31 @@
 use crate::service_client::{Front, OpenIds};
 use crate::shutdown::Shutdown;
 
-/// Descriptors that neither clients nor instances get: the listener, the watch, the runtime's own, the
-/// standard streams, and client connections that are closing while others have taken their places.
-const RESERVED: usize = 48;
+/// How the descriptors that the settings allow are shared out; no part takes from another.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Descriptors {
+    /// The program's own: the standard streams, the listener, the runtime's, the signals' and the watch, 12 in all;
+    /// at times another watch, a client that is being turned away and a file that is read again. What schedulers need
+    /// that agree on rules comes out of the rest of it.
+    pub own: usize,
+    /// Client connections that are closing while others have taken their places.
+    pub closing: usize,
+    /// Connections to instances, for executions and probes.
+    pub instances: usize,
+    /// Places for clients.
+    pub clients: usize,
+}
+
+impl Descriptors {
+    /// Of fewer than 64 each part gets less; fewer than 32 do not suffice.
+    pub fn of(sockets: usize) -> Descriptors {
+        let own = (sockets / 2).min(32);
+        let closing = ((sockets - own) / 2).min(16);
+        let shared = sockets - own - closing;
+        let instances = (shared * 2 / 5).max(1);
+        Descriptors { own, closing, instances, clients: shared.saturating_sub(instances).max(1) }
+    }
+}
 
 pub fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
@@ -54,9 +76,8 @@
 ) -> Result<(), String> {
     let (queue, inputs) = mpsc::unbounded_channel();
     let (ask, asked) = mpsc::unbounded_channel();
-    let shared = config.sockets.saturating_sub(RESERVED).max(16);
-    let for_instances = shared * 2 / 5;
-    let instances = Instances::new(for_instances, config.links, counters.clone(), queue.clone());
+    let descriptors = Descriptors::of(config.sockets);
+    let instances = Instances::new(descriptors.instances, config.links, counters.clone(), queue.clone());
     tokio::spawn(instances.clone().sweep());
     let carry_out = move |order| match order {
         Order::Execute(execute) => drop(tokio::spawn(instances.clone().execute(execute))),
@@ -95,7 +116,7 @@
         visit: Visit::begin(),
     };
     tokio::select! {
-        () = places::serve(listener, front, shared - for_instances) => Ok(()),
+        () = places::serve(listener, front, descriptors) => Ok(()),
         // It runs as long as the queue has senders: if it ends, the module has panicked.
         ended = core => Err(format!("the core ended: {ended:?}")),
     }
--- a/crates/daemon/src/places.rs
+++ b/crates/daemon/src/places.rs
@@ -23,6 +23,7 @@
 use crate::counters::Shared;
 use crate::inlet::{Inlet, Refusal, Visit, IDLE_RANK, LARGEST_HEAD};
 use crate::service_client::Front;
+use crate::Descriptors;
 
 /// For how long a connection that is to close may still bring the rest of a head.
 const LAST_HEAD: Duration = Duration::from_millis(200);
@@ -31,8 +32,6 @@
 /// Clients may hold only so many connections for their requests, and some open one for each and let it stay:
 /// more than this part (1/n) of the places does not stay idle, or they could open no others.
 const IDLE_PART: usize = 4;
-/// Connections beyond the places, while those that have been shed for them are closing.
-const SPARE: usize = 16;
 /// Closed with input unread, a connection is reset, and the client may lose the answer that it has not read:
 /// so much is still read, for so long.
 const DRAINED: usize = 256 << 10;
@@ -44,6 +43,8 @@
 /// The connections of service clients.
 struct Places {
     most: usize,
+    /// Connections beyond these, while those that have been shed for them are closing.
+    spare: usize,
     counters: Shared,
     held: Mutex<Held>,
     freed: Notify,
@@ -74,13 +75,13 @@
     }
 
     fn crowded(&self) -> bool {
-        self.held().visits.len() >= self.most + SPARE
+        self.held().visits.len() >= self.most + self.spare
     }
 
     /// A place for a newcomer, for which another may be told to go; `None` if all are in use.
     fn take(self: &Arc<Self>, visit: &Arc<Visit>) -> Option<Place> {
         let mut held = self.held();
-        if held.visits.len() >= self.most + SPARE {
+        if held.visits.len() >= self.most + self.spare {
             // Nor is another told to go for one that gets no place.
             return None;
         }
@@ -110,9 +111,10 @@
 }
 
 /// Accepts client connections until the shutdown has closed the door; returns when all have ended.
-pub async fn serve(listener: TcpListener, front: Front, most: usize) {
+pub async fn serve(listener: TcpListener, front: Front, descriptors: Descriptors) {
     let places = Arc::new(Places {
-        most,
+        most: descriptors.clients,
+        spare: descriptors.closing,
         counters: front.counters.clone(),
         held: Mutex::default(),
         freed: Notify::new(),
