Write an answer to its end for a client that reads slowly, whatever ends the connection

Read, then forced: an answer of which the system takes only a part left its connection as idle (Visit::busy ends with the call, the rest lies with hyper). So it could be shed for a newcomer (Visit::rank), was dropped 0.2 s after the close of the door (the last_by of places::connection), and 0.2 s after the answer to a chunked request (CLOSING in Visit::due): ended by us without a whole answer, which is a lost request. Ruled out: answers that the system takes at once, and these are most; on loopback 68 of 60 kB lie unread before one stops.

Change: the client's stream notes that a write waits. Such a connection is not shed; told to end, it has 0.7 s from then, which is what is left at the close of the door until all must be answered, and otherwise the 75 s of one between requests.

--- a/crates/daemon/src/inlet.rs
+++ b/crates/daemon/src/inlet.rs
@@ -30,6 +30,11 @@
 const NEW: Duration = Duration::from_millis(100);
 /// The rank of those that have brought a job and are between two.
 pub const IDLE_RANK: u8 = 1;
+/// For how long a connection that is to end may still bring the rest of a head.
+const LAST_HEAD: Duration = Duration::from_millis(200);
+/// For how long a client may take over reading an answer where its connection is to end with it: from the close of
+/// the door to the end of a planned end.
+const TAKING: Duration = Duration::from_millis(700);
 /// For how long hyper may take to be done after the last answer.
 const CLOSING: Duration = Duration::from_millis(200);
 
@@ -50,6 +55,8 @@
     busy: bool,
     /// Whether all of a request has come to which there is no answer yet.
     passed: bool,
+    /// Whether part of an answer is not written yet, for its client does not read.
+    stuck: bool,
     /// Reads on once there is an answer.
     reader: Option<Waker>,
     idle_since: Instant,
@@ -80,6 +87,7 @@
             begun: false,
             busy: false,
             passed: false,
+            stuck: false,
             reader: None,
             idle_since: began,
             asked: false,
@@ -113,6 +121,12 @@
         self.state().busy
     }
 
+    /// Whether it has nothing to do for its client: no call is under way, and the last answer is written.
+    pub fn idle(&self) -> bool {
+        let state = self.state();
+        !state.busy && !state.stuck
+    }
+
     /// Whether all of the present request has come.
     pub fn whole(&self) -> bool {
         self.state().reading.is_none()
@@ -141,16 +155,25 @@
         self.state().reading.unwrap_or(self.began) + WHOLE
     }
 
-    /// When the client has taken too long, as things stand; `None` while the program is the one to act.
-    pub fn due(&self) -> Option<Instant> {
+    /// When the client has taken too long, as things stand; `None` while the program is the one to act. `told`:
+    /// since when the connection is to end.
+    pub fn due(&self, told: Option<Instant>) -> Option<Instant> {
         let state = self.state();
+        if state.busy {
+            return None;
+        }
+        if state.stuck {
+            let taken = |told: Instant| (told + TAKING).max(state.idle_since + CLOSING);
+            return Some(told.map_or(state.idle_since + IDLE, taken));
+        }
         let from_idle = state.idle_since + if state.last { CLOSING } else { IDLE };
-        (!state.busy).then(|| state.reading.map_or(from_idle, |since| since + WHOLE))
+        let due = state.reading.map_or(from_idle, |since| since + WHOLE);
+        Some(told.map_or(due, |told| due.min(told + LAST_HEAD)))
     }
 
     /// The least comes first to be shed: whoever never brought a job, then who has been idle longest, and
     /// last a newcomer, whose first request may be on its way and would be lost; others repeat one that
-    /// crosses the close. `None` while a call is under way, or it has been told already.
+    /// crosses the close. `None` while a call is under way, its answer is not written, or it has been told already.
     pub fn rank(&self) -> Option<(u8, Instant)> {
         let state = self.state();
         let new = !state.asked && self.began.elapsed() < NEW;
@@ -158,7 +181,7 @@
             true => (IDLE_RANK, state.idle_since),
             false => (if new { 2 } else { 0 }, self.began),
         };
-        (!state.busy && !state.shedding).then_some(rank)
+        (!state.busy && !state.stuck && !state.shedding).then_some(rank)
     }
 
     pub fn shedding(&self) -> bool {
@@ -368,7 +391,10 @@
 
 impl AsyncWrite for Inlet {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.intake().stream).poll_write(cx, bytes)
+        let mut intake = self.intake();
+        let written = Pin::new(&mut intake.stream).poll_write(cx, bytes);
+        intake.visit.state().stuck = written.is_pending();
+        written
     }
 
     fn poll_write_vectored(
@@ -376,7 +402,10 @@
         cx: &mut Context,
         bytes: &[io::IoSlice],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.intake().stream).poll_write_vectored(cx, bytes)
+        let mut intake = self.intake();
+        let written = Pin::new(&mut intake.stream).poll_write_vectored(cx, bytes);
+        intake.visit.state().stuck = written.is_pending();
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/daemon/src/places.rs
+++ b/crates/daemon/src/places.rs
@@ -25,8 +25,6 @@
 use crate::service_client::Front;
 use crate::Descriptors;
 
-/// For how long a connection that is to close may still bring the rest of a head.
-const LAST_HEAD: Duration = Duration::from_millis(200);
 /// Accepting goes on this long after it failed: descriptors come free meanwhile.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Clients may hold only so many connections for their requests, and some open one for each and let it stay:
@@ -188,7 +186,7 @@
             () = shutdown.closing() => {}
         }
     });
-    let (mut last_by, mut closing) = (None, false);
+    let (mut told_at, mut closing) = (None, false);
     let mut timer = pin!(sleep_until(Instant::now().into()));
     let late = poll_fn(|cx| {
         if let Poll::Ready(ended) = connection.poll_without_shutdown(cx) {
@@ -201,20 +199,19 @@
             debug!("client gone");
             return Poll::Ready(false);
         }
-        if last_by.is_none() && told.as_mut().poll(cx).is_ready() {
-            last_by = Some(Instant::now() + LAST_HEAD);
+        if told_at.is_none() && told.as_mut().poll(cx).is_ready() {
+            told_at = Some(Instant::now());
         }
-        if visit.shedding() && !visit.busy() {
+        if visit.shedding() && visit.idle() {
             return Poll::Ready(true);
         }
         // To hyper, which has not seen it, half a head is nothing, and the connection idle.
-        if last_by.is_some() && !closing && !visit.half() {
+        if told_at.is_some() && !closing && !visit.half() {
             closing = true;
             Pin::new(&mut connection).graceful_shutdown();
             cx.waker().wake_by_ref();
         }
-        let due = visit.due().map(|due| last_by.map_or(due, |last| last.min(due)));
-        let Some(due) = due else { return Poll::Pending };
+        let Some(due) = visit.due(told_at) else { return Poll::Pending };
         if timer.deadline() != due.into() {
             timer.as_mut().reset(due.into());
         }
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -14,6 +14,9 @@
 /// Only so that a broken program fails the test instead of hanging it.
 pub const PATIENCE: Duration = Duration::from_secs(10);
 
+/// By so much the results of jobs whose ids begin with `large` are longer.
+pub const LARGE: usize = 60_000;
+
 /// Whether the text is like the pattern, in which `*` stands for anything.
 pub fn like(pattern: &str, text: &str) -> bool {
     match pattern.split_once('*') {
@@ -311,7 +314,9 @@
                     .to_owned()
             }
             _ => {
-                let done = format!(r#"{{"id":"{id}","state":"done","result":"r{id}"}}"#);
+                let large = if id.starts_with("large") { LARGE } else { 0 };
+                let result = format!("r{id}") + &"x".repeat(large);
+                let done = format!(r#"{{"id":"{id}","state":"done","result":"{result}"}}"#);
                 let length = done.len();
                 format!("HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: {length}\r\n\r\n{done}")
             }
