--- a/crates/daemon/src/places.rs
+++ b/crates/daemon/src/places.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 use std::future::poll_fn;
 use std::future::Future;
+use std::io::{Read, Write};
 use std::pin::{pin, Pin};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::Poll;
@@ -22,16 +23,13 @@
 use crate::counters::Shared;
 use crate::inlet::{Inlet, Refusal, Visit, IDLE_RANK, LARGEST_HEAD};
 use crate::service_client::Front;
+use crate::Descriptors;
 
-/// For how long a connection that is to close may still bring the rest of a head.
-const LAST_HEAD: Duration = Duration::from_millis(200);
 /// Accepting goes on this long after it failed: descriptors come free meanwhile.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Clients may hold only so many connections for their requests, and some open one for each and let it stay:
 /// more than this part (1/n) of the places does not stay idle, or they could open no others.
 const IDLE_PART: usize = 4;
-/// Connections beyond the places, while those that have been shed for them are closing.
-const SPARE: usize = 16;
 /// Closed with input unread, a connection is reset, and the client may lose the answer that it has not read:
 /// so much is still read, for so long.
 const DRAINED: usize = 256 << 10;
@@ -43,6 +41,8 @@
 /// The connections of service clients.
 struct Places {
     most: usize,
+    /// Connections beyond these, while those that have been shed for them are closing.
+    spare: usize,
     counters: Shared,
     held: Mutex<Held>,
     freed: Notify,
@@ -72,9 +72,17 @@
         self.held.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn crowded(&self) -> bool {
+        self.held().visits.len() >= self.most + self.spare
+    }
+
     /// A place for a newcomer, for which another may be told to go; `None` if all are in use.
     fn take(self: &Arc<Self>, visit: &Arc<Visit>) -> Option<Place> {
         let mut held = self.held();
+        if held.visits.len() >= self.most + self.spare {
+            // Nor is another told to go for one that gets no place.
+            return None;
+        }
         let idle = held.visits.values().filter_map(|visit| Some((visit.rank()?, visit)));
         let idle: Vec<_> = idle.filter(|((rank, _), _)| *rank == IDLE_RANK).collect();
         if idle.len() > self.most / IDLE_PART {
@@ -87,9 +95,6 @@
             ranked.min_by_key(|(rank, _)| *rank)?.1.tell_to_end();
             self.counters.shed.add();
         }
-        if held.visits.len() >= self.most + SPARE {
-            return None;
-        }
         let number = held.next;
         held.next += 1;
         held.visits.insert(number, visit.clone());
@@ -104,9 +109,10 @@
 }
 
 /// Accepts client connections until the shutdown has closed the door; returns when all have ended.
-pub async fn serve(listener: TcpListener, front: Front, most: usize) {
+pub async fn serve(listener: TcpListener, front: Front, descriptors: Descriptors) {
     let places = Arc::new(Places {
-        most,
+        most: descriptors.clients,
+        spare: descriptors.closing,
         counters: front.counters.clone(),
         held: Mutex::default(),
         freed: Notify::new(),
@@ -124,10 +130,14 @@
                 front.counters.accepted.add();
                 let _ = stream.set_nodelay(true);
                 let visit = Visit::begin();
+                if places.crowded() {
+                    // Those that have been shed get to close first.
+                    tokio::task::yield_now().await;
+                }
                 let Some(place) = places.take(&visit) else {
                     front.counters.turned_away.add();
-                    let _ = stream.try_write(&words(CROWDED));
-                    // Those that have been shed get to close before the next comes.
+                    turn_away(stream);
+                    // What is under way goes before those that come again at once.
                     tokio::task::yield_now().await;
                     continue;
                 };
@@ -146,6 +156,15 @@
     places.empty().await;
 }
 
+/// Tells a client that there is no place for it, and closes.
+fn turn_away(stream: TcpStream) {
+    // Not by its readiness: of a connection that was accepted just now nothing is known yet.
+    let Ok(mut stream) = stream.into_std() else { return };
+    let _ = stream.write(&words(CROWDED));
+    // Closed over its unread request, the connection is reset, and the answer may go with it.
+    let _ = stream.read(&mut [0; LARGEST_HEAD]);
+}
+
 /// A whole answer to a request that hyper never gets to see.
 fn words(Refusal(status, why): Refusal) -> Vec<u8> {
     let length = why.len() + 1;
@@ -167,7 +186,7 @@
             () = shutdown.closing() => {}
         }
     });
-    let (mut last_by, mut closing) = (None, false);
+    let (mut told_at, mut closing) = (None, false);
     let mut timer = pin!(sleep_until(Instant::now().into()));
     let late = poll_fn(|cx| {
         if let Poll::Ready(ended) = connection.poll_without_shutdown(cx) {
@@ -180,20 +199,19 @@
             debug!("client gone");
             return Poll::Ready(false);
         }
-        if last_by.is_none() && told.as_mut().poll(cx).is_ready() {
-            last_by = Some(Instant::now() + LAST_HEAD);
+        if told_at.is_none() && told.as_mut().poll(cx).is_ready() {
+            told_at = Some(Instant::now());
         }
-        if visit.shedding() && !visit.busy() {
+        if visit.shedding() && visit.idle() {
             return Poll::Ready(true);
         }
         // To hyper, which has not seen it, half a head is nothing, and the connection idle.
-        if last_by.is_some() && !closing && !visit.half() {
+        if told_at.is_some() && !closing && !visit.half() {
             closing = true;
             Pin::new(&mut connection).graceful_shutdown();
             cx.waker().wake_by_ref();
         }
-        let due = visit.due().map(|due| last_by.map_or(due, |last| last.min(due)));
-        let Some(due) = due else { return Poll::Pending };
+        let Some(due) = visit.due(told_at) else { return Poll::Pending };
         if timer.deadline() != due.into() {
             timer.as_mut().reset(due.into());
         }
--- a/crates/daemon/tests/discovery.rs
+++ b/crates/daemon/tests/discovery.rs
@@ -9,7 +9,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
-use common::{Program, PATIENCE};
+use common::{config, Program, PATIENCE};
 use nickelflow_daemon::core::Input;
 use nickelflow_daemon::discovery::{DiscoveryClient, WatchEnd, WatchTiming, TOLD};
 use nickelflow_daemon::list::{EntryNames, List};
@@ -315,9 +315,9 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_io().build().expect("a runtime");
     let _inside = runtime.enter();
     let (socket, address) = closed();
-    let program = Program::start(address, &[]);
+    let program = Program::configured(&config(&[]), &address.to_string(), &[], None);
     for _ in 0..8 {
-        program.logs("Connection refused");
+        program.logs("*Connection refused*");
     }
     let listener = socket.listen(64).expect("to listen").into_std().expect("a listener");
     let end = Instant::now() + PATIENCE;
@@ -331,7 +331,12 @@
 #[test]
 fn a_call_that_is_not_answered_keeps_its_place() {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let _program = Program::start(listener.local_addr().expect("its address"), &[]);
+    let _program = Program::configured(
+        &config(&[]),
+        &listener.local_addr().expect("its address").to_string(),
+        &[],
+        None,
+    );
     let end = Instant::now() + PATIENCE;
     let mut first = call(&listener, end);
     let (second, third) = (call(&listener, end), call(&listener, end));
--- a/crates/daemon/tests/readiness.rs
+++ b/crates/daemon/tests/readiness.rs
@@ -6,7 +6,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
-use common::{Program, PATIENCE};
+use common::{config, Program, PATIENCE};
 use rstest::rstest;
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -50,8 +50,13 @@
 /// Starts one, and how long it took to answer 200.
 fn start(discovery: SocketAddr) -> (Program, Duration) {
     let began = Instant::now();
-    let program = Program::start(discovery, &[("\"balancers\": 1", "\"balancers\": 30")]);
-    let mut stream = TcpStream::connect(program.address()).expect("to connect");
+    let program = Program::configured(
+        &config(&[("\"balancers\": 1", "\"balancers\": 30")]),
+        &discovery.to_string(),
+        &[],
+        None,
+    );
+    let mut stream = TcpStream::connect(&program.address).expect("to connect");
     stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
     stream.write_all(b"GET /healthz HTTP/1.1\r\nHost: n0\r\n\r\n").expect("to ask");
     let mut head = [0; 12];
