--- a/crates/drill/src/agreement.rs
+++ b/crates/drill/src/agreement.rs
@@ -209,7 +209,7 @@
 }
 
 /// Version, newest proposal and steps to come, from what `status` prints.
-fn in_force(said: &str) -> Option<(String, u64, u64)> {
+pub fn in_force(said: &str) -> Option<(String, u64, u64)> {
     let line = said.lines().find_map(|line| line.trim().strip_prefix("in force "))?;
     let (version, line) = line.split_once(", proposal ")?;
     let (newest, line) = line.split_once(" is the newest, ")?;
@@ -236,15 +236,3 @@
     }
     text
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn what_status_prints_is_read() {
-        let said = "voter 1 (n0, 0.1.0): acts on 2.7, 900 ms of its lease left\n  voter 1 leads\n  in force 2.7, proposal 3 is the newest, 0 steps to come; T 1011 ms\n";
-        assert_eq!(in_force(said), Some(("2.7".to_owned(), 3, 0)));
-        assert_eq!(in_force("voter 1: not reached"), None);
-    }
-}
