Keep what all send a cold worker to its budget, also where each is sent less than one job

The term: beyond their budget of N calls in a window only 2 x root of N + 2 are put down to chance, over what all dispatchers send together.

Cause, from a simulation of whole fleets of dispatchers (tests/cold_fleet.rs): a sparse dispatcher sent a cold worker every job of a key that ranked it first, with no budget at all (rules.rs, spare: `if self.sparse() { first }`). The size of a worker was the usual of the free slots seen, which is far too low in a busy fleet; a job's work was its attempt's time, at cold workers too, where it takes up to seven times as long.

Change: the rate of each is the even part of a mean that stays below the budget with the term's chance (meters.rs, cold_rate; Chernoff's bound of a Poisson distribution, or surely where each sends at most one job beyond its part). A sparse dispatcher passes on by chance what would come above its rate, by what it sends and the worker's weight and the key's part of its traffic: even for one that sees five times the mean. Savings begin with a drawn part of one job and hold half a window. Work counts as a run at a warm worker, size as the largest seen of its kind.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -80,7 +80,7 @@
 pub mod index;
 mod interface;
 mod load;
-mod meters;
+pub mod meters;
 mod rules;
 mod state;
 mod told;
--- a/crates/decisions/src/rules.rs
+++ b/crates/decisions/src/rules.rs
@@ -15,7 +15,7 @@
 use crate::index::{mix, Agenda, Counts, Hold, Pool, Ring};
 use crate::interface::*;
 use crate::load::{Load, Part};
-use crate::meters::{Demand, Room, Savings, Shares};
+use crate::meters::{cold_rate, Demand, Room, Savings, Shares};
 use crate::state::{Attempt, ClassView, Due, End, Job, Worker};
 use crate::told::Told;
 
@@ -79,17 +79,10 @@
 const MAX_DOUBLINGS: f64 = 6.0;
 /// A success takes this part off a worker's count of failures.
 const FORGIVE: f64 = 0.2;
-/// Part of the cold budget that is used: the rest is for chance, which hits all dispatchers together.
-const COLD_PART: f64 = 0.5;
 /// A cold worker takes a sparse dispatcher's jobs that rank it first; from HALF_WARM of its capacity on, when
 /// chance weighs less, those that rank it so high and find those before full.
 const COLD_RANKS: usize = 2;
 const HALF_WARM: f64 = 0.4;
-/// Where its part is less than a job, a dispatcher saves up to one, and has it for so long (in windows of the
-/// rule): what all have together at one moment must not push it over either.
-const COLD_GOOD: f64 = 2.0;
-/// Capacity of a slot, in cores of standard speed: slots are a little more than cores, cores differ.
-const CAPACITY_OF_SLOT: f64 = 0.6;
 /// Part of a worker's slots left free for work within its tenant's share.
 const RESERVE: f64 = 0.5;
 /// A first try may be given this part (1/n) of its class's deadline, or less: a repeat has more left, for it
@@ -125,8 +118,8 @@
     keys: Counts,
     /// Registered size of the ready workers, on average.
     mean: f64,
-    /// Usual size of the workers of a kind.
-    sizes: BTreeMap<u32, f64>,
+    /// Usual size of the workers of a kind, as far as seen, and the largest.
+    sizes: BTreeMap<u32, (f64, f64)>,
     /// Probes that jobs have paid for, and the room that reports show.
     probes: f64,
     room: Room,
@@ -139,8 +132,7 @@
 impl Dispatcher {
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
         settings.check()?;
-        let classes = settings.classes.iter();
-        let classes = classes.map(|c| ClassView { run: 2.0 * c.aim as f64, longest: c.deadline }).collect();
+        let classes = settings.classes.iter().map(ClassView::new).collect();
         Ok(Dispatcher {
             rng: fastrand::Rng::with_seed(seed),
             now: 0,
@@ -299,6 +291,7 @@
         self.workers[index] = Some(Worker::new(entry, timer, self.now));
         if let Some(worker) = &mut self.workers[index] {
             worker.ready = ready;
+            worker.budget = Savings::new(worker.entry.started.map_or(0.0, |_| self.rng.f64()), self.now);
             if ready && self.settings.can_probe && !sparse {
                 worker.waiting = true;
                 let timer = worker.timer;
@@ -552,10 +545,9 @@
     /// Whether a worker is warm, or has cold budget left for the job. Where a dispatcher's part of it is less
     /// than a job, a cold worker takes no more than the jobs that rank it high.
     fn spare(&self, worker: &Worker, job: &Job) -> bool {
-        let ranks = if self.warm(worker, 0).is_some_and(|warm| warm < HALF_WARM) { 1 } else { COLD_RANKS };
-        let mut firsts = job.homes.iter().take(ranks).filter(|_| job.attempts.is_empty());
+        let mut firsts = job.homes.iter().take(self.cold_ranks(worker)).filter(|_| job.attempts.is_empty());
         let first = firsts.any(|n| *n == worker.entry.worker.0 as usize);
-        let work = job.request.slots * self.classes[job.request.class as usize].run / SECOND;
+        let work = job.request.slots * self.classes[job.request.class as usize].work / SECOND;
         let enough = |(budget, _)| if self.sparse() { first } else { budget >= work };
         self.cold_budget(worker, work).is_none_or(enough)
     }
@@ -606,20 +598,17 @@
         let (Some(job), Some(worker)) = (self.jobs.get_mut(&id), &mut self.workers[index]) else { return };
         let attempt = job.attempts.len() as u32;
         job.attempts.push(Attempt { worker: index, sent: self.now, out: true, maybe_ran: true, heard: None });
-        let (slots, memory, patience) = (
-            job.request.slots,
-            job.request.memory,
-            job.patience.max(self.now + self.settings.classes[job.request.class as usize].aim),
-        );
+        self.demand.sent();
+        let (slots, memory) = (job.request.slots, job.request.memory);
+        let patience = job.patience.max(self.now + self.settings.classes[job.request.class as usize].aim);
         worker.load.sent(self.now, slots, memory);
         worker.signs.sent(self.now);
         let class = job.request.class as usize;
         actions.push(Action::Send { request: id, worker: WorkerId(index as u32), timeout: 0 });
-        let work = slots * self.classes[class].run / SECOND;
-        let budget = self.workers[index].as_ref().filter(|_| !self.sparse());
-        let budget = budget.and_then(|w| self.cold_budget(w, work));
+        let work = slots * self.classes[class].work / SECOND;
+        let budget = self.workers[index].as_ref().and_then(|w| self.cold_budget(w, work));
         if let (Some((budget, rate)), Some(worker)) = (budget, &mut self.workers[index]) {
-            worker.budget = Savings::new(budget - work, self.now);
+            worker.budget = Savings::left(budget - work, self.now);
             self.at(self.now + (work / rate * SECOND) as Nanos, Due::Serve(index));
         }
         if self.settings.classes[class].effect != Effect::Unsafe && self.settings.can_cancel {
@@ -663,8 +652,22 @@
         let mut chance = |weight: f64| -self.rng.f64().max(f64::MIN_POSITIVE).ln() / weight;
         let mut drawn: Vec<(f64, usize)> = (0..first).map(|n| (chance(weights[n]), ranked[n])).collect();
         drawn.sort_unstable_by(|a, b| a.0.total_cmp(&b.0));
-        ranked.truncate(first + SOUGHT - 1);
         ranked.iter_mut().zip(drawn).for_each(|(place, (_, n))| *place = n);
+        // What it sends goes by weight, and its key's part to the first ones: of that, a cold one is sent no
+        // more than its rate, whoever else sends it. The rest, and its keys, go on to the next.
+        let all = weights.iter().sum::<f64>() * self.ring.len() as f64 / weights.len() as f64;
+        let part = share / weights[..first].iter().sum::<f64>();
+        let usual = self.rng.f64() * self.demand.sent_per_s();
+        let work = self.classes[class as usize].work / SECOND;
+        let takes = |w: &Worker| {
+            let usual = usual * self.weight(w) * (part + self.cold_ranks(w) as f64 / all);
+            self.cold_rate(w, work, 0).is_none_or(|rate| usual <= rate)
+        };
+        let mut top = 0..COLD_RANKS;
+        ranked.retain(|n| {
+            top.is_empty() || self.workers[*n].as_ref().is_none_or(takes) && top.next().is_some()
+        });
+        ranked.truncate(first + SOUGHT - 1);
         ranked
     }
 
@@ -688,12 +691,8 @@
 
     /// Its registered size, if that is told and can be.
     fn told(&self, worker: &Worker) -> f64 {
-        let weight = worker.entry.weight;
-        if self.settings.tells_size && weight > 0.0 && weight.is_finite() {
-            weight
-        } else {
-            1.0
-        }
+        let weight = Some(worker.entry.weight).filter(|_| self.settings.tells_size);
+        weight.filter(|weight| *weight > 0.0 && weight.is_finite()).unwrap_or(1.0)
     }
 
     /// How much of the traffic a worker is to have, where a usual one has 1: what a cold one can do is a part
@@ -782,9 +781,10 @@
         let first = heard.is_none();
         let Request { slots, memory, key, class, tenant, .. } = job.request;
         if outcome == Outcome::Ok {
-            let run = &mut self.classes[job.request.class as usize].run;
-            let from = heard.filter(|_| sparse).unwrap_or(sent);
-            *run += 0.05 * ((self.now - from) as f64 - *run);
+            let warm = self.workers[index].as_ref().and_then(|w| self.warm(w, 0)).unwrap_or(1.0);
+            let run = (self.now - heard.unwrap_or(sent)) as f64;
+            let attempt = if sparse { run } else { (self.now - sent) as f64 };
+            self.classes[class as usize].ended(attempt, warm * run);
         }
         let part = self.part(index);
         if let Some(worker) = self.workers[index].as_mut().filter(|w| sent >= w.since) {
@@ -872,7 +872,7 @@
         // What a cold worker ends, and what jobs ask of it, are both by how warm it is.
         let worker = self.workers.get(index).and_then(Option::as_ref);
         let warm = worker.and_then(|w| self.warm(w, 0)).unwrap_or(1.0);
-        let size = worker.and_then(|w| self.sizes.get(&w.entry.kind)).copied().unwrap_or(1.0);
+        let size = worker.and_then(|w| self.sizes.get(&w.entry.kind)).map_or(1.0, |sizes| sizes.0);
         let workers = if sparse { self.ring.len() } else { self.workers.len() };
         let wanted = self.demand.per_s() * REPORT_AGE as f64 / SECOND / workers.max(1) as f64;
         let even = 1.0 / f64::from(self.settings.dispatchers) / wanted.min(1.0);
@@ -914,8 +914,9 @@
         worker.probing = false;
         worker.read = self.now;
         if worker.load.free.is_some() {
-            let like = self.sizes.entry(worker.entry.kind).or_insert(worker.load.size);
-            *like += 0.1 * (worker.load.size - *like);
+            let size = worker.load.size;
+            let (usual, largest) = self.sizes.entry(worker.entry.kind).or_insert((size, size));
+            (*usual, *largest) = (*usual + 0.1 * (size - *usual), largest.max(size));
         }
         self.settle(index);
         self.serve(index, actions);
@@ -973,21 +974,22 @@
         (age < cold).then_some(cold_from + (1.0 - cold_from) * then)
     }
 
-    /// What may still be sent to a cold worker now (s of work), and how fast that grows; `None` if warm.
-    ///
-    /// All dispatchers together must not send it more than a multiple of what it can do. Each keeps to an
-    /// even part of that, saved up from nothing, so that no burst spends a window's budget at its start.
+    /// How high it has to rank for a sparse dispatcher's job, to be sent it.
+    fn cold_ranks(&self, worker: &Worker) -> usize {
+        self.warm(worker, 0).filter(|warm| *warm < HALF_WARM).map_or(COLD_RANKS, |_| 1)
+    }
+
+    /// Jobs of so much work (s) a second that this dispatcher may send a worker; `None` if it is warm.
+    fn cold_rate(&self, worker: &Worker, work: f64, ago: Nanos) -> Option<f64> {
+        let slots = self.warm(worker, ago)? * self.sizes.get(&worker.entry.kind).map_or(1.0, |sizes| sizes.1);
+        Some(cold_rate(&self.settings, slots, work, !self.sparse()).max(1e-9))
+    }
+
+    /// What is saved up for a cold worker (s of work), and how fast that grew on average; `None` if warm.
     fn cold_budget(&self, worker: &Worker, work: f64) -> Option<(f64, f64)> {
-        let contract = &self.settings.contract;
-        // As it was on average while the budget grew.
-        let warm = self.warm(worker, self.now.saturating_sub(worker.budget.at()) / 2)?;
-        let like = self.sizes.get(&worker.entry.kind).copied().unwrap_or(1.0);
-        let capacity = warm * CAPACITY_OF_SLOT * worker.load.size.max(like);
-        let rate = COLD_PART * contract.fall_multiple * capacity / f64::from(self.settings.dispatchers);
-        let rate = rate.max(1e-6);
-        let fall = contract.fall as f64 / SECOND;
-        let (most, good) = (rate * fall / 2.0, COLD_GOOD * fall);
-        Some((worker.budget.grown(self.now, rate, most, work, good), rate))
+        let ago = self.now.saturating_sub(worker.budget.at()) / 2;
+        let rate = work * self.cold_rate(worker, work, ago)?;
+        Some((worker.budget.grown(self.now, rate, self.settings.contract.fall, work), rate))
     }
 }
 
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -1,7 +1,7 @@
 //! What a dispatcher knows of one worker, one request and one class. Plain figures: what follows from them is
 //! in `rules.rs`.
 
-use crate::interface::{Nanos, Outcome, Report, Request, RequestId, WorkerEntry};
+use crate::interface::{Class, Nanos, Outcome, Report, Request, RequestId, WorkerEntry};
 use crate::load::{Load, Signs};
 use crate::meters::Savings;
 
@@ -27,7 +27,7 @@
     pub timer: u32,
     pub waiting: bool,
     pub probing: bool,
-    /// Cold budget left (s of work).
+    /// What is saved up of the own part of its cold budget.
     pub budget: Savings,
 }
 
@@ -72,12 +72,27 @@
     Subscribe,
 }
 
-/// What is known of a class: mean time (ns) of an attempt, and the longest time a client gave a try.
+/// What is known of a class: mean time (ns) of an attempt, and of its run alone at a warm worker, and the longest
+/// time a client gave a try.
 pub struct ClassView {
     pub run: f64,
+    pub work: f64,
     pub longest: Nanos,
 }
 
+impl ClassView {
+    pub fn new(class: &Class) -> Self {
+        let run = 2.0 * class.aim as f64;
+        ClassView { run, work: run, longest: class.deadline }
+    }
+
+    /// An attempt has run, and taken so long (ns); its run alone would have taken a warm worker so long.
+    pub fn ended(&mut self, attempt: f64, work: f64) {
+        self.run += 0.05 * (attempt - self.run);
+        self.work += 0.05 * (work - self.work);
+    }
+}
+
 /// How an attempt ended, whether its request is over, and what was reported with it.
 pub type End = (Outcome, bool, Option<Report>);
 
