--- a/crates/decisions/src/index.rs
+++ b/crates/decisions/src/index.rs
@@ -164,8 +164,11 @@
 }
 
 impl<T: Ord> Agenda<T> {
+    /// What is due at `u64::MAX` never is.
     pub fn put(&mut self, at: u64, what: T) {
-        self.due.push(Reverse((at, what)));
+        if at < u64::MAX {
+            self.due.push(Reverse((at, what)));
+        }
     }
 
     /// The next that is due by now.
