Take little traffic from the workers' number where no quotas tell it, and ask none for nothing

Cause: without tenants there is no quota to tell the traffic, so that Demand counted it as infinite until a scheduler had seen jobs for a second, and with it took itself for a busy one (sparse() false): each asked all of 200 workers at its start and each closed one again every 0.2 s. A restarted one does so anew. Ruled out: probes that jobs ask for. Change: where no quotas tell, and until its first job, a dispatcher takes its part of the traffic that fills half of the listed workers. Up to four dispatchers are never sparse for it; what is then seen counts as before.

Tests: a hundred dispatchers without quotas probe only what jobs want (fails without the line in list()), four hear all workers at their start.

--- a/crates/decisions/src/meters.rs
+++ b/crates/decisions/src/meters.rs
@@ -4,6 +4,9 @@
 use crate::interface::{Nanos, Report, Settings, Tenant};
 
 const SECOND: f64 = 1e9;
+/// Slots of a worker that has not told them, and the part of them that is in use on an ordinary day.
+pub const SLOTS: f64 = 4.0;
+pub const FILL: f64 = 0.5;
 /// Memory (s) of the arrival rates, and burst (s of quota) that counts as within a share.
 const RATE_MEMORY: f64 = 12.0;
 const SHARE_BURST: f64 = 3.0;
@@ -15,11 +18,13 @@
 /// How long (s) the demand that quotas make likely counts beside the demand seen.
 const GUESSED: f64 = 5.0;
 
-/// Requests a second that come in here: at first what the tenants' quotas make likely, then what came since the
-/// first; infinite as long as nothing is known.
+/// Requests a second that come in here: at first what the tenants' quotas make likely, or else the workers, then what
+/// came since the first; infinite as long as nothing is known.
 pub struct Demand {
     per_s: f64,
     guess: f64,
+    /// Of each worker, where no quotas tell.
+    each: Option<f64>,
     first: Option<Nanos>,
     arrivals: f64,
     /// Attempts for each request, of late.
@@ -34,7 +39,22 @@
         let quotas: f64 = settings.tenants.iter().map(|t| t.quota_per_s).sum();
         let guess = quotas / MARGIN / f64::from(settings.dispatchers);
         let per_s = if guess > 0.0 { guess } else { f64::INFINITY };
-        Demand { per_s, guess, first: None, arrivals: 0.0, attempts: 1.0 }
+        // A run is taken for twice its aim, as at the module's start, and for a second at most: a few dispatchers with
+        // long jobs are not many with little traffic.
+        let runs: f64 = settings.classes.iter().map(|c| 2.0 * c.aim as f64 / SECOND).sum();
+        let run = (runs / settings.classes.len().max(1) as f64).min(1.0);
+        let each = SLOTS * FILL / run / f64::from(settings.dispatchers);
+        let each = Some(each).filter(|each| guess <= 0.0 && each.is_finite());
+        Demand { per_s, guess, each, first: None, arrivals: 0.0, attempts: 1.0 }
+    }
+
+    /// So many workers are listed. Where no quotas tell, they are taken to be there for the traffic that fills them:
+    /// without that, each of hundreds of dispatchers counts itself busy until it has seen jobs for a while, and asks
+    /// every worker again and again.
+    pub fn listed(&mut self, workers: usize) {
+        if let Some(each) = self.each.filter(|_| self.arrivals < 1.0 && workers > 0) {
+            self.per_s = each * workers as f64;
+        }
     }
 
     pub fn count(&mut self, now: Nanos) {
--- a/crates/decisions/src/rules.rs
+++ b/crates/decisions/src/rules.rs
@@ -15,7 +15,7 @@
 use crate::index::{mix, Agenda, Counts, Hold, Pool, Ring};
 use crate::interface::*;
 use crate::load::{Load, Part};
-use crate::meters::{cold_rate, Demand, Room, Savings, Shares};
+use crate::meters::{cold_rate, Demand, Room, Savings, Shares, FILL, SLOTS};
 use crate::state::{Attempt, ClassView, Due, End, Job, Worker};
 use crate::told::Told;
 
@@ -61,11 +61,8 @@
 /// A sparse dispatcher's job waits, held or unstarted, for its aim and this part of a usual run: what waits
 /// longer is mostly late, and run all the same it takes the slots of those behind it.
 const SLACK: f64 = 0.3;
-/// A sparse dispatcher's jobs look at this many workers; a key's first ones are as many as its traffic fills
-/// by FILL, where each is taken to have SLOTS.
+/// A sparse dispatcher's jobs look at this many workers; a key's first ones are as many as its traffic fills.
 const SOUGHT: usize = 5;
-const FILL: f64 = 0.5;
-const SLOTS: f64 = 4.0;
 /// A client that a sparse dispatcher refuses comes back after about this long (ns), mostly to another one.
 const AGAIN: Nanos = 100 * MS;
 /// Jobs of which the keys are remembered, and (in jobs) the weight of the guess that a key is rare.
@@ -251,6 +248,7 @@
             let ready = entry.membership == Membership::Ready;
             self.ring.set(mix(entry.address_hash), entry.worker.0 as usize, ready);
         }
+        self.demand.listed(self.ring.len());
         for entry in entries {
             self.entry(entry);
         }
--- a/crates/decisions/tests/scenarios.rs
+++ b/crates/decisions/tests/scenarios.rs
@@ -885,7 +885,26 @@
 
 #[test]
 fn a_hundred_that_start_together_probe_only_what_their_jobs_want() {
-    let mut b = one_of_a_hundred(1);
+    probes_only_what_its_jobs_want(one_of_a_hundred(1));
+}
+
+#[test]
+fn where_no_quotas_tell_the_traffic_a_hundred_probe_only_what_their_jobs_want() {
+    let settings = Settings { dispatchers: 100, ..settings(vec![class(Effect::Safe)]) };
+    probes_only_what_its_jobs_want(Bench::seeded(settings, 1));
+}
+
+#[test]
+fn where_no_quotas_tell_the_traffic_a_few_hear_all_workers_at_their_start() {
+    let settings = Settings { dispatchers: 4, ..settings(vec![class(Effect::Safe)]) };
+    let mut b = Bench::seeded(settings, 1);
+    b.report = Some(free(4.0));
+    b.workers(ListKind::Full, (0..12).map(entry).collect());
+    b.pass(S);
+    assert!((0..12).all(|worker| b.probes(worker) == 1), "{:?}", b.actions);
+}
+
+fn probes_only_what_its_jobs_want(mut b: Bench) {
     b.workers(ListKind::Full, (0..60).map(entry).collect());
     b.pass(2 * S);
     assert!(b.actions.is_empty(), "a start alone costs the workers probes: {:?}", b.actions);
