--- a/crates/decisions/src/meters.rs
+++ b/crates/decisions/src/meters.rs
@@ -172,12 +172,14 @@
     }
 }
 
-/// Part of what a cold worker bears that is used at most: it can do less than that itself.
+/// Part of what a cold worker bears that those who save their part up use at most: it can do less than that itself.
 const COLD_PART: f64 = 0.5;
 /// What a dispatcher may have saved up of its even part, against what a window brings it.
 const COLD_SAVED: f64 = 0.5;
 /// More than a cold worker bears comes in a window by a chance of less than e to the power of minus this.
 const COLD_CHANCE: f64 = 11.5;
+/// The same where each sends what comes first there, which is mostly less than its part.
+const COLD_CHANCE_SPARSE: f64 = 7.0;
 /// Capacity of a slot, in cores of standard speed: slots are a little more than cores, cores differ.
 const CAPACITY_OF_SLOT: f64 = 0.6;
 
@@ -194,9 +196,10 @@
     let most = (allowed + 2.0 * allowed.sqrt() + 2.0).floor();
     // Towards the mean that the bound allows, from below.
     let over = most + 1.0;
-    let chance = (0..4).fold(0.0, |mean, _| over * ((mean - COLD_CHANCE) / over - 1.0).exp());
+    let (part, least) = if saved { (COLD_PART, COLD_CHANCE) } else { (1.0, COLD_CHANCE_SPARSE) };
+    let chance = (0..4).fold(0.0, |mean, _| over * ((mean - least) / over - 1.0).exp());
     let mean = if saved { chance.max(most - dispatchers) / (1.0 + COLD_SAVED) } else { chance };
-    mean.min(COLD_PART * allowed) / dispatchers / fall.max(1e-3)
+    mean.min(part * allowed) / dispatchers / fall.max(1e-3)
 }
 
 /// What a dispatcher has saved up of its part of a cold worker's budget (s of work).
