Add `scale` to the drill: real schedulers against hollow workers, with fitted lines

What a scheduler asks of workers and discovery as the fleet grows was known from a look from outside only. `nickelflow-drill scale FILE...` starts schedulers against hollow workers (an address for each worker and scheduler, for schedulers keep connections by address), counts control and work at the other end, reads processor time and memory from /proc, and fits a line over the workers and over the load. Results as JSON can be printed again.

Found on the way: schedulers guess their load from the quotas, so that quotas must fit the load that is played. With quotas of a fleet of idle workers no scheduler of 3,100 workers probed at all, for it took itself for a busy one.

Links count what passes; discovery lists instances by a trait, so that the same stand-in serves both kinds of workers.

--- a/crates/drill/src/discovery.rs
+++ b/crates/drill/src/discovery.rs
@@ -25,10 +25,20 @@
 use crate::links::{self, bound, listen};
 use crate::record::{Record, Scribe, Standing};
 use crate::scenario::zone_name;
-use crate::workers::Worker;
 
 /// An empty line comes this often while nothing changes.
 const BEAT: Duration = Duration::from_secs(2);
+/// What is listed: a worker, as far as discovery knows it.
+pub trait Instance: Send + Sync {
+    fn number(&self) -> u32;
+    fn name(&self) -> &str;
+    fn rack(&self) -> u32;
+    fn zone(&self) -> u32;
+    fn cores(&self) -> f64;
+    /// When its process started, if that is not long ago.
+    fn started(&self) -> Option<Nanos>;
+}
+
 /// Pieces of a watch that wait for a slow reader, at most; one that is further behind is cut off.
 const PIECES: usize = 64;
 
@@ -46,7 +56,7 @@
     news: watch::Sender<News>,
     lag: Nanos,
     scribe: Scribe,
-    workers: Vec<Arc<Worker>>,
+    workers: Vec<Arc<dyn Instance>>,
     /// The address of each link, by scheduler and worker.
     links: HashMap<(u32, u32), SocketAddr>,
 }
@@ -56,14 +66,14 @@
     pub fn start(
         scenario: &Scenario,
         scribe: Scribe,
-        workers: Vec<Arc<Worker>>,
+        workers: Vec<Arc<dyn Instance>>,
         links: HashMap<(u32, u32), SocketAddr>,
     ) -> std::io::Result<Arc<Discovery>> {
         let figures = &scenario.discovery;
         let mut model =
             Model::new(millis(figures.call_ms.0), millis(figures.lines_ms.0), millis(figures.wait_ms.0));
         for worker in &workers {
-            model.begin(listing(worker, Listed::Ready));
+            model.begin(listing(worker.as_ref(), Listed::Ready));
         }
         let held = bound(SocketAddr::from(([127, 0, 0, 1], 0)))?;
         let address = held.local_addr()?;
@@ -82,7 +92,7 @@
     }
 
     /// Something has become of a worker: listed after the lag.
-    pub fn changed(self: &Arc<Self>, worker: &Worker, standing: Listed) {
+    pub fn changed(self: &Arc<Self>, worker: &dyn Instance, standing: Listed) {
         self.model().changed(listing(worker, standing));
         let discovery = self.clone();
         tokio::spawn(async move {
@@ -216,8 +226,8 @@
             self.told(scheduler, entry.machine, entry.standing);
         }
         if snapshot {
-            for worker in self.workers.iter().filter(|w| !told.contains(&w.number)) {
-                self.told(scheduler, worker.number, Listed::Gone);
+            for worker in self.workers.iter().filter(|w| !told.contains(&w.number())) {
+                self.told(scheduler, worker.number(), Listed::Gone);
             }
         }
         let entries: Vec<Value> = list.iter().filter_map(|entry| self.entry(scheduler, entry)).collect();
@@ -242,11 +252,11 @@
             Listed::Gone => "left",
         };
         Some(json!({
-            "name": worker.name,
-            "address": self.links.get(&(scheduler, worker.number))?.to_string(),
-            "zone": zone_name(worker.zone),
+            "name": worker.name(),
+            "address": self.links.get(&(scheduler, worker.number()))?.to_string(),
+            "zone": zone_name(worker.zone()),
             "type": "stand-in",
-            "group": worker.rack,
+            "group": worker.rack(),
             "status": status,
             "weight": worker.cores(),
             "since_ms": listing.started.map_or(0, |started| self.scribe.unix_ms(started)),
@@ -254,6 +264,6 @@
     }
 }
 
-fn listing(worker: &Worker, standing: Listed) -> Listing {
-    Listing { machine: worker.number, address: worker.number, standing, started: worker.started() }
+fn listing(worker: &dyn Instance, standing: Listed) -> Listing {
+    Listing { machine: worker.number(), address: worker.number(), standing, started: worker.started() }
 }
--- a/crates/drill/src/lib.rs
+++ b/crates/drill/src/lib.rs
@@ -4,7 +4,10 @@
 //!
 //! A [`scenario::Drill`] says what takes part and what goes wrong when; [`run::run`] plays it in real time;
 //! [`audit::audit`] judges the [`record::Entry`]s. Workers, archive, discovery and traffic are the laboratory's
-//! models, driven by the drill's clock. See `docs/operators/drills.md`.
+//! models, driven by the drill's clock.
+//!
+//! A [`scale_file::Scale`] says how large a fleet of hollow workers is; [`scale::play`] starts schedulers against it and
+//! measures what each sends, receives and uses; [`scale_table`] fits lines to that. See `docs/operators/drills.md`.
 #![forbid(unsafe_code)]
 
 pub mod agreement;
@@ -12,13 +15,20 @@
 pub mod audit_rules;
 pub mod clients;
 pub mod discovery;
+pub mod hollow;
 pub mod http;
 pub mod links;
 pub mod nemesis;
 pub mod processes;
 pub mod record;
 pub mod run;
+pub mod scale;
+pub mod scale_file;
+pub mod scale_table;
 pub mod scenario;
 pub mod settings;
 pub mod timeline;
+/// The reader of the rules' documents, which tells all faults of a file at once.
+#[path = "../../accord/src/toml_faults.rs"]
+pub mod toml_faults;
 pub mod workers;
--- a/crates/drill/src/links.rs
+++ b/crates/drill/src/links.rs
@@ -88,12 +88,21 @@
     }
 }
 
+/// What has passed over a link so far, counted as it comes in: bytes, without those of TCP itself.
+#[derive(Default)]
+pub struct Passed {
+    pub connections: AtomicU64,
+    pub requests: AtomicU64,
+    pub answers: AtomicU64,
+}
+
 /// One link. Dropped, it goes down with its connections.
 pub struct Link {
     pub from: Party,
     pub to: Party,
     /// Where `from` finds it.
     pub address: SocketAddr,
+    pub passed: Arc<Passed>,
     state: watch::Sender<State>,
 }
 
@@ -106,8 +115,10 @@
         let (state, watched) = watch::channel(State::default());
         let listener = listen(address, BACKLOG)?;
         let random = random::stream(seed, random::Concern::Network, u64::from(address.port()));
-        tokio::spawn(serve(listener, held, address, Onward { from, target, state: watched }, random));
-        Ok(Link { from, to, address, state })
+        let passed = Arc::<Passed>::default();
+        let onward = Onward { from, target, state: watched, passed: passed.clone() };
+        tokio::spawn(serve(listener, held, address, onward, random));
+        Ok(Link { from, to, address, passed, state })
     }
 
     pub fn change(&self, change: impl FnOnce(&mut State)) {
@@ -124,6 +135,7 @@
     from: Party,
     target: SocketAddr,
     state: watch::Receiver<State>,
+    passed: Arc<Passed>,
 }
 
 /// A socket that has an address and does not listen.
@@ -208,7 +220,8 @@
 }
 
 async fn connection(near: TcpStream, onward: Onward, mut random: Random) {
-    let Onward { from, target, mut state } = onward;
+    let Onward { from, target, mut state, passed } = onward;
+    passed.connections.fetch_add(1, Ordering::Relaxed);
     let resets = state.borrow().resets;
     let reach = async {
         let socket = TcpSocket::new_v4()?;
@@ -229,8 +242,11 @@
     let ((near_read, near_write), (far_read, far_write)) = (tokio::io::split(near), tokio::io::split(far));
     let carried = Arc::new(AtomicU64::new(0));
     let streams = (random::unit(&mut random).to_bits(), random::unit(&mut random).to_bits());
-    let requests = carry(near_read, far_write, state.clone(), |s| s.requests, carried.clone(), streams.0);
-    let answers = carry(far_read, near_write, state.clone(), |s| s.answers, carried, streams.1);
+    let (asked, answered) = (carried.clone(), carried);
+    let requests =
+        carry(near_read, far_write, state.clone(), |s| s.requests, asked, &passed.requests, streams.0);
+    let answers =
+        carry(far_read, near_write, state.clone(), |s| s.answers, answered, &passed.answers, streams.1);
     let reset_all = async {
         loop {
             if state.changed().await.is_err() || state.borrow().resets != resets {
@@ -264,6 +280,7 @@
     mut state: watch::Receiver<State>,
     way: fn(&State) -> Way,
     carried: Arc<AtomicU64>,
+    passed: &AtomicU64,
     seed: u64,
 ) -> Result<(), Torn> {
     let mut random = random::stream(seed, random::Concern::Network, 1);
@@ -273,6 +290,7 @@
         let mut buffer = vec![0; PIECE];
         loop {
             let n = read.read(&mut buffer).await.map_err(|_| Torn)?;
+            passed.fetch_add(n as u64, Ordering::Relaxed);
             let Way { delay, jitter, .. } = way(&watched.borrow());
             let due = Instant::now() + delay + jitter.mul_f64(random::unit(&mut random));
             let reset_part = watched.borrow().reset_part;
--- a/crates/drill/src/main.rs
+++ b/crates/drill/src/main.rs
@@ -8,10 +8,12 @@
 use clap::{Args, Parser, Subcommand};
 use nickelflow_drill::nemesis;
 use nickelflow_drill::run::{run, Options, Outcome};
+use nickelflow_drill::scale::{self, Outcome as Measured};
+use nickelflow_drill::scale_file::Scale;
+use nickelflow_drill::scale_table::table;
 use nickelflow_drill::scenario::{Drill, Event};
 use nickelflow_lab::scenario::Bounded;
 use serde::Serialize;
-use tokio::signal::unix::{signal, SignalKind};
 
 /// Plays several processes of the scheduler against stand-ins, with faults between them, and judges the record.
 #[derive(Parser)]
@@ -48,6 +50,8 @@
         #[command(flatten)]
         play: Play,
     },
+    /// Measure what a scheduler sends, receives and uses against fleets of growing size, and fit lines to it.
+    Scale(Measure),
     /// Name the scenarios of a folder.
     List {
         #[arg(default_value = "lab/drills")]
@@ -55,6 +59,21 @@
     },
 }
 
+#[derive(Args)]
+struct Measure {
+    /// Scale files to play (TOML), and results of earlier runs to print again (JSON).
+    #[arg(required = true)]
+    files: Vec<PathBuf>,
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// The scheduler to start.
+    #[arg(long, default_value = "target/release/nickelflow")]
+    binary: PathBuf,
+    /// Write the results, to print again.
+    #[arg(long)]
+    json: Option<PathBuf>,
+}
+
 fn minutes(text: &str) -> Result<f64, String> {
     let figure = text.parse::<f64>().ok().filter(|x| (0.05..=600.0).contains(x));
     figure.ok_or_else(|| "must be from 0.05 to 600".to_owned())
@@ -87,6 +106,7 @@
 fn main() -> ExitCode {
     let cli = Cli::parse();
     let done = match cli.command {
+        Command::Scale(measure) => return measure.run(),
         Command::Run { scenario, play } => Drill::load(&scenario).and_then(|drill| play.play(&drill)),
         Command::Nemesis { scenario, minutes, gap, draw, play } => {
             Drill::load(&scenario).and_then(|mut drill| {
@@ -133,6 +153,62 @@
     Ok(())
 }
 
+/// What one file asks for.
+enum Wanted {
+    Run(Scale),
+    Again(Vec<Measured>),
+}
+
+impl Measure {
+    fn run(&self) -> ExitCode {
+        // All files are read before the first is played, and all that is wrong with any is told.
+        let (wanted, wrong): (Vec<_>, Vec<_>) =
+            self.files.iter().map(|file| read(file)).partition(Result::is_ok);
+        let wrong: Vec<String> = wrong.into_iter().filter_map(Result::err).flatten().collect();
+        if !wrong.is_empty() {
+            wrong.iter().for_each(|why| eprintln!("nickelflow-drill: {why}"));
+            return ExitCode::from(2);
+        }
+        match self.measure(wanted.into_iter().flatten()) {
+            Ok(measured) => {
+                println!("{}", table(&measured));
+                ExitCode::SUCCESS
+            }
+            Err(why) => {
+                eprintln!("nickelflow-drill: {why}");
+                ExitCode::from(3)
+            }
+        }
+    }
+
+    fn measure(&self, wanted: impl Iterator<Item = Wanted>) -> Result<Vec<Measured>, Failed> {
+        let options = scale::Options { binary: self.binary.clone(), seed: self.seed };
+        let mut measured = Vec::new();
+        for wanted in wanted {
+            match wanted {
+                Wanted::Again(outcomes) => measured.extend(outcomes),
+                Wanted::Run(file) => measured.push(scale::play(&file, &options, |told| eprintln!("{told}"))?),
+            }
+        }
+        if let Some(path) = &self.json {
+            let text = serde_json::to_string(&measured).map_err(|e| e.to_string())?;
+            std::fs::write(path, text + "\n").map_err(|e| format!("{}: {e}", path.display()))?;
+        }
+        Ok(measured)
+    }
+}
+
+fn read(file: &Path) -> Result<Wanted, Vec<String>> {
+    let named = |why: &dyn std::fmt::Display| format!("{}: {why}", file.display());
+    let text = std::fs::read_to_string(file).map_err(|e| vec![named(&e)])?;
+    if file.extension().is_some_and(|e| e == "json") {
+        return serde_json::from_str(&text).map(Wanted::Again).map_err(|e| vec![named(&e)]);
+    }
+    let scale =
+        Scale::parse(&text).map_err(|faults| faults.iter().map(|fault| named(fault)).collect::<Vec<_>>());
+    scale.map(Wanted::Run)
+}
+
 impl Play {
     /// Plays, prints and writes; tells whether all rules were kept.
     fn play(&self, drill: &Drill) -> Result<bool, Failed> {
@@ -145,16 +221,7 @@
             keep: self.logs.clone(),
         };
         // Told to end, the drill drops what it plays, and with it ends its processes.
-        let outcome = runtime.block_on(async {
-            let told = |kind| signal(kind).map_err(|e| format!("signals: {e}"));
-            let (mut term, mut hangup) = (told(SignalKind::terminate())?, told(SignalKind::hangup())?);
-            tokio::select! {
-                outcome = run(drill, &options) => outcome,
-                _ = tokio::signal::ctrl_c() => Err("interrupted".to_owned()),
-                _ = term.recv() => Err("told to end".to_owned()),
-                _ = hangup.recv() => Err("its terminal has gone".to_owned()),
-            }
-        })?;
+        let outcome = runtime.block_on(scale::unless_told(run(drill, &options)))?;
         self.write(drill, &outcome)?;
         let summary = &outcome.summary;
         println!(
--- a/crates/drill/src/run.rs
+++ b/crates/drill/src/run.rs
@@ -16,7 +16,7 @@
 use crate::audit::{audit, Finding, Law, Repeat};
 use crate::audit_rules::{self, audit_rules, Agreed, Overlaps};
 use crate::clients::{self, Front};
-use crate::discovery::Discovery;
+use crate::discovery::{Discovery, Instance};
 use crate::links::Link;
 use crate::processes::Process;
 use crate::record::{Entry, Party, Record, Scribe};
@@ -73,8 +73,8 @@
             links.push(Arc::new(link));
         }
     }
-    let discovery =
-        Discovery::start(&drill.world, scribe.clone(), workers.clone(), named).map_err(io("discovery"))?;
+    let listed = workers.iter().map(|worker| worker.clone() as Arc<dyn Instance>).collect();
+    let discovery = Discovery::start(&drill.world, scribe.clone(), listed, named).map_err(io("discovery"))?;
     let (mut processes, mut fronts) = (Vec::new(), Vec::new());
     for scheduler in 0..drill.schedulers() {
         let older = options.older.as_deref();
@@ -83,7 +83,7 @@
         let (from, to) = (Party::Scheduler(scheduler), Party::Discovery);
         let news = Link::new(from, to, discovery.address, options.seed).await.map_err(io("a link"))?;
         let seed = options.seed.wrapping_mul(1_000).wrapping_add(u64::from(scheduler));
-        let config = settings::of(drill, scheduler, process.address, news.address, seed);
+        let config = settings::of(&drill.world, zones, scheduler, process.address, news.address, seed);
         process.configure(&config).map_err(io("a scheduler's file"))?;
         let front = Link::new(Party::Clients, to_scheduler(scheduler), process.address, options.seed).await;
         let front = front.map_err(io("a link"))?;
--- /dev/null
+++ b/crates/drill/src/scale_file.rs
@@ -0,0 +1,142 @@
+//! Scale files: how large a run is, as TOML. All that is wrong with one is told at once, each with its line.
+
+use serde::{Deserialize, Serialize};
+
+use crate::toml_faults::{Fault, Reader};
+
+/// One size of the fleet after the other, under one load.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Scale {
+    pub name: String,
+    /// Ascending.
+    pub workers: Vec<u32>,
+    /// Schedulers that share the fleet and the load, as each is told.
+    pub balancers: u32,
+    /// Schedulers that are really started, each with its share of the load.
+    pub schedulers: u32,
+    /// Of all `balancers` together.
+    pub jobs_per_s: f64,
+    /// Quotas of all tenants together: what schedulers take for likely until they have seen it.
+    pub quota_per_s: f64,
+    /// Of the list.
+    pub changes_per_s: f64,
+    pub tenants: u32,
+    /// Before it is measured.
+    pub warmup_s: f64,
+    pub seconds: f64,
+    /// A connection to a worker that is unused for so long is closed.
+    pub idle_s: f64,
+    pub repeats: u32,
+    pub limits: Limits,
+}
+
+/// What is planned for: the size, and what a scheduler may take of each.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Limits {
+    pub workers: Option<u32>,
+    /// Of one core, in hundredths.
+    pub cpu_percent: Option<f64>,
+    pub memory_mb: Option<f64>,
+    /// Both ways.
+    pub control_bytes_per_s: Option<f64>,
+}
+
+const FIELDS: [&str; 13] = [
+    "name",
+    "sizes",
+    "balancers",
+    "schedulers",
+    "jobs_per_s",
+    "quota_per_s",
+    "changes_per_s",
+    "tenants",
+    "warmup_s",
+    "seconds",
+    "idle_s",
+    "repeats",
+    "limits",
+];
+
+/// Sizes of one file.
+const MOST_SIZES: usize = 12;
+pub const MOST_WORKERS: u64 = 10_000;
+/// Listening sockets of the workers, one for each scheduler: descriptors of this process.
+pub const MOST_SOCKETS: u32 = 14_000;
+const MOST_SCHEDULERS: u64 = 16;
+
+impl Scale {
+    /// Jobs a second of one scheduler.
+    pub fn share(&self) -> f64 {
+        self.jobs_per_s / f64::from(self.balancers)
+    }
+
+    /// Reads a file, or says all that is wrong with it.
+    pub fn parse(text: &str) -> Result<Scale, Vec<Fault>> {
+        let mut reader = Reader::new(text)?;
+        let scale = reader.table("", &FIELDS, |file| {
+            let sizes = file.named("sizes", MOST_SIZES, |size| {
+                size.only(&["workers"]);
+                let workers = size.whole("workers", 1, MOST_WORKERS);
+                if workers.is_none() {
+                    size.fault("workers", "must be given");
+                }
+                workers.unwrap_or(1) as u32
+            });
+            if sizes.is_empty() {
+                file.fault("sizes", "must have one size at least");
+            }
+            let mut workers: Vec<u32> = sizes.into_values().collect();
+            workers.sort_unstable();
+            workers.dedup();
+            let must = |field: &str, found: Option<f64>| {
+                if found.is_none() {
+                    file.fault(field, "must be given");
+                }
+                found.unwrap_or(1.0)
+            };
+            let whole = |field: &str, most: u64| file.whole(field, 1, most).map(|x| x as f64);
+            let scale = Scale {
+                name: file.text("name").unwrap_or_default(),
+                workers,
+                balancers: must("balancers", whole("balancers", 10_000)) as u32,
+                schedulers: whole("schedulers", MOST_SCHEDULERS).unwrap_or(1.0) as u32,
+                jobs_per_s: must("jobs_per_s", file.figure("jobs_per_s", 0.0, 20_000.0)),
+                quota_per_s: must("quota_per_s", file.figure("quota_per_s", 0.1, 100_000.0)),
+                changes_per_s: file.figure("changes_per_s", 0.0, 50.0).unwrap_or(0.0),
+                tenants: whole("tenants", 1_000).unwrap_or(1.0) as u32,
+                warmup_s: file.figure("warmup_s", 0.5, 60.0).unwrap_or(1.0),
+                seconds: must("seconds", file.figure("seconds", 0.5, 600.0)),
+                idle_s: file.figure("idle_s", 0.5, 60.0).unwrap_or(5.0),
+                repeats: whole("repeats", 20).unwrap_or(1.0) as u32,
+                limits: file.inner("limits", |limits| {
+                    limits.only(&["workers", "cpu_percent", "memory_mb", "control_bytes_per_s"]);
+                    Limits {
+                        workers: limits.whole("workers", 1, 1_000_000).map(|workers| workers as u32),
+                        cpu_percent: limits.figure("cpu_percent", 0.01, 1e4),
+                        memory_mb: limits.figure("memory_mb", 0.1, 1e6),
+                        control_bytes_per_s: limits.figure("control_bytes_per_s", 1.0, 1e9),
+                    }
+                }),
+            };
+            if scale.name.is_empty() {
+                file.fault("name", "must be given");
+            }
+            let largest = scale.workers.last().copied().unwrap_or(0);
+            if largest * scale.schedulers > MOST_SOCKETS {
+                file.fault("schedulers", &format!("times the workers must be {MOST_SOCKETS} at most"));
+            }
+            if scale.schedulers > scale.balancers {
+                file.fault("schedulers", "must not be more than the balancers");
+            }
+            if scale.share() > 2_000.0 {
+                file.fault("jobs_per_s", "must be 2000 for each of the balancers at most");
+            }
+            scale
+        });
+        reader.end(scale).map_err(|mut faults| {
+            // What is wrong is told, and not that it is missing too.
+            faults.dedup_by(|later, earlier| later.line == earlier.line && later.field == earlier.field);
+            faults
+        })
+    }
+}
--- a/crates/drill/src/settings.rs
+++ b/crates/drill/src/settings.rs
@@ -1,19 +1,25 @@
-//! The file that a scheduler is started with, made from a drill's world.
+//! The file that a scheduler is started with, made from a world.
 
 use std::net::SocketAddr;
 
 use nickelflow_lab::policy;
-use nickelflow_lab::scenario::Repeats;
+use nickelflow_lab::scenario::{Repeats, Scenario};
 use serde_json::{json, Value};
 
-use crate::scenario::{zone_name, Drill};
+use crate::scenario::zone_name;
 
 /// Descriptors and memory of one scheduler.
 const SOCKETS: u32 = 1024;
 
 /// What one scheduler is told.
-pub fn of(drill: &Drill, scheduler: u32, listen: SocketAddr, discovery: SocketAddr, seed: u64) -> Value {
-    let world = &drill.world;
+pub fn of(
+    world: &Scenario,
+    zones: u32,
+    scheduler: u32,
+    listen: SocketAddr,
+    discovery: SocketAddr,
+    seed: u64,
+) -> Value {
     let settings = policy::settings(world);
     let classes: Vec<Value> = (settings.classes.iter().zip(&world.classes))
         .map(|(class, told)| {
@@ -30,7 +36,7 @@
     let customers: Vec<Value> = (settings.tenants.iter().zip(&world.tenants))
         .map(|(tenant, told)| json!({"name": told.name, "quota_per_s": tenant.quota_per_s}))
         .collect();
-    let zones: Vec<String> = (0..drill.zones.0 as u32).map(zone_name).collect();
+    let names: Vec<String> = (0..zones).map(zone_name).collect();
     let stretch: Vec<f64> = settings.classes.iter().map(|class| class.stretch).collect();
     let contract = &settings.contract;
     json!({
@@ -41,7 +47,7 @@
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": SOCKETS},
         "known": {"index": 0, "snapshot": true, "endpoints": []},
         "settings": {
-            "az": scheduler % drill.zones.0 as u32, "zones": zones, "kinds": ["stand-in"],
+            "az": scheduler % zones, "zones": names, "kinds": ["stand-in"],
             "balancers": settings.dispatchers, "resolution_ns": settings.resolution,
             "membership_mode": "on_request", "weights": "nominal",
             "caps": {"cancel": settings.can_cancel, "probing": settings.can_probe,
--- a/crates/drill/src/timeline.rs
+++ b/crates/drill/src/timeline.rs
@@ -189,7 +189,7 @@
             What::Crash { .. } => {
                 for worker in met {
                     worker.crash();
-                    self.discovery.changed(worker, Standing::Gone);
+                    self.discovery.changed(worker.as_ref(), Standing::Gone);
                 }
                 tokio::time::sleep(length).await;
             }
@@ -199,7 +199,7 @@
                 }
                 for worker in met {
                     worker.vanish();
-                    self.discovery.changed(worker, Standing::Gone);
+                    self.discovery.changed(worker.as_ref(), Standing::Gone);
                 }
                 tokio::time::sleep(length).await;
                 for link in &silent {
@@ -209,19 +209,19 @@
             _ => {
                 for worker in met {
                     worker.drain();
-                    self.discovery.changed(worker, Standing::Draining);
+                    self.discovery.changed(worker.as_ref(), Standing::Draining);
                 }
                 tokio::time::sleep(length).await;
                 for worker in met {
                     worker.crash();
-                    self.discovery.changed(worker, Standing::Gone);
+                    self.discovery.changed(worker.as_ref(), Standing::Gone);
                 }
             }
         }
         if !matches!(what, What::Hang { .. }) {
             for worker in met {
                 worker.restart();
-                self.discovery.changed(worker, Standing::Ready);
+                self.discovery.changed(worker.as_ref(), Standing::Ready);
             }
         }
     }
--- a/crates/drill/src/workers.rs
+++ b/crates/drill/src/workers.rs
@@ -23,6 +23,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
 
+use crate::discovery::Instance;
 use crate::http::{self, Body};
 use crate::links::{self, bound, listen};
 use crate::record::{lock, Record, Scribe};
@@ -116,6 +117,32 @@
     Ok(workers)
 }
 
+impl Instance for Worker {
+    fn number(&self) -> u32 {
+        self.number
+    }
+
+    fn name(&self) -> &str {
+        &self.name
+    }
+
+    fn rack(&self) -> u32 {
+        self.rack
+    }
+
+    fn zone(&self) -> u32 {
+        self.zone
+    }
+
+    fn cores(&self) -> f64 {
+        lock(&self.state).model.make.cores
+    }
+
+    fn started(&self) -> Option<Nanos> {
+        lock(&self.state).model.started
+    }
+}
+
 impl Worker {
     async fn start(
         number: u32,
@@ -148,16 +175,6 @@
         Ok(worker)
     }
 
-    /// When its process started, if that is not long ago.
-    pub fn started(&self) -> Option<Nanos> {
-        lock(&self.state).model.started
-    }
-
-    /// Cores that it is registered with.
-    pub fn cores(&self) -> f64 {
-        lock(&self.state).model.make.cores
-    }
-
     // ---- what is done to it ------------------------------------------------------------------------------
 
     /// Takes work and answers nothing, or goes on where it stood.
