--- a/crates/drill/src/scale_file.rs
+++ b/crates/drill/src/scale_file.rs
@@ -57,6 +57,8 @@
     "limits",
 ];
 
+const MISSING: &str = "must be given";
+
 /// Sizes of one file.
 const MOST_SIZES: usize = 12;
 pub const MOST_WORKERS: u64 = 10_000;
@@ -78,7 +80,7 @@
                 size.only(&["workers"]);
                 let workers = size.whole("workers", 1, MOST_WORKERS);
                 if workers.is_none() {
-                    size.fault("workers", "must be given");
+                    size.fault("workers", MISSING);
                 }
                 workers.unwrap_or(1) as u32
             });
@@ -90,7 +92,7 @@
             workers.dedup();
             let must = |field: &str, found: Option<f64>| {
                 if found.is_none() {
-                    file.fault(field, "must be given");
+                    file.fault(field, MISSING);
                 }
                 found.unwrap_or(1.0)
             };
@@ -119,7 +121,7 @@
                 }),
             };
             if scale.name.is_empty() {
-                file.fault("name", "must be given");
+                file.fault("name", MISSING);
             }
             let largest = scale.workers.last().copied().unwrap_or(0);
             if largest * scale.schedulers > MOST_SOCKETS {
@@ -135,7 +137,9 @@
         });
         reader.end(scale).map_err(|mut faults| {
             // What is wrong is told, and not that it is missing too.
-            faults.dedup_by(|later, earlier| later.line == earlier.line && later.field == earlier.field);
+            faults.dedup_by(|later, earlier| {
+                later.what == MISSING && later.line == earlier.line && later.field == earlier.field
+            });
             faults
         })
     }
--- a/crates/drill/tests/processes.rs
+++ b/crates/drill/tests/processes.rs
@@ -1,24 +1,18 @@
 //! Drills with real processes: the scheduler as it is built keeps the rules through every kind of fault, and no process
 //! outlives its drill.
 
-use std::path::{Path, PathBuf};
+mod common;
+
+use std::path::Path;
 use std::process::Command;
 
+use common::binary;
 use nickelflow_drill::processes::Process;
 use nickelflow_drill::record::{Life, Party, Record, Scribe};
 use nickelflow_drill::run::{run, Options, Outcome};
 use nickelflow_drill::scenario::Drill;
 use rstest::rstest;
 
-/// The scheduler that the workspace's tests have built, beside the tests; else the release build.
-fn binary() -> PathBuf {
-    let own = std::env::current_exe().expect("this test's own path");
-    let beside = own.parent().and_then(Path::parent).map(|folder| folder.join("nickelflow"));
-    let release = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../target/release/nickelflow");
-    let found = beside.into_iter().chain([release]).find(|path| path.exists());
-    found.expect("the scheduler is built: cargo build --release, or cargo test --workspace")
-}
-
 fn play(name: &str) -> (Drill, Outcome) {
     let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../lab/drills").join(name);
     let drill = Drill::load(&file).expect("a sound drill");
