--- a/crates/accord/src/lib.rs
+++ b/crates/accord/src/lib.rs
@@ -24,7 +24,7 @@
 pub use lease::{Grant, Grantor, Had, Holder, InForce, Request, Terms};
 pub use plan::plan;
 pub use step::{Contradiction, Places, Set, Step, Use};
-pub use toml_faults::Fault;
+pub use toml_faults::{Fault, Reader, Table};
 
 /// Nanoseconds of a monotonic clock that goes on while its process is stopped.
 pub type Nanos = u64;
--- a/crates/decisions/src/meters.rs
+++ b/crates/decisions/src/meters.rs
@@ -178,8 +178,10 @@
 const COLD_SAVED: f64 = 0.5;
 /// More than a cold worker bears comes in a window by a chance of less than e to the power of minus this.
 const COLD_CHANCE: f64 = 11.5;
-/// The same where each sends what comes first there, which is mostly less than its part.
+/// The same where each sends what comes first there, mostly less than its part, and a worker bears many jobs. Where it
+/// bears FEW or less, one job weighs more, and so does what work and size are wrongly taken to be: there it is as above.
 const COLD_CHANCE_SPARSE: f64 = 7.0;
+const FEW: f64 = 4.0;
 /// Capacity of a slot, in cores of standard speed: slots are a little more than cores, cores differ.
 const CAPACITY_OF_SLOT: f64 = 0.6;
 
@@ -196,7 +198,8 @@
     let most = (allowed + 2.0 * allowed.sqrt() + 2.0).floor();
     // Towards the mean that the bound allows, from below.
     let over = most + 1.0;
-    let (part, least) = if saved { (COLD_PART, COLD_CHANCE) } else { (1.0, COLD_CHANCE_SPARSE) };
+    let eased = COLD_CHANCE_SPARSE + (COLD_CHANCE - COLD_CHANCE_SPARSE) * (FEW / most).min(1.0);
+    let (part, least) = if saved { (COLD_PART, COLD_CHANCE) } else { (1.0, eased) };
     let chance = (0..4).fold(0.0, |mean, _| over * ((mean - least) / over - 1.0).exp());
     let mean = if saved { chance.max(most - dispatchers) / (1.0 + COLD_SAVED) } else { chance };
     mean.min(part * allowed) / dispatchers / fall.max(1e-3)
--- a/crates/drill/src/lib.rs
+++ b/crates/drill/src/lib.rs
@@ -28,7 +28,4 @@
 pub mod scenario;
 pub mod settings;
 pub mod timeline;
-/// The reader of the rules' documents, which tells all faults of a file at once.
-#[path = "../../accord/src/toml_faults.rs"]
-pub mod toml_faults;
 pub mod workers;
--- a/crates/drill/src/scale_file.rs
+++ b/crates/drill/src/scale_file.rs
@@ -1,9 +1,8 @@
 //! Scale files: how large a run is, as TOML. All that is wrong with one is told at once, each with its line.
 
+use nickelflow_accord::{Fault, Reader};
 use serde::{Deserialize, Serialize};
 
-use crate::toml_faults::{Fault, Reader};
-
 /// One size of the fleet after the other, under one load.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Scale {
