--- a/crates/decisions/src/meters.rs
+++ b/crates/decisions/src/meters.rs
@@ -172,16 +172,15 @@
     }
 }
 
-/// Part of what a cold worker bears that those who save their part up use at most: it can do less than that itself.
+/// Part of what a cold worker bears that is used at most: it can do less than that itself.
 const COLD_PART: f64 = 0.5;
 /// What a dispatcher may have saved up of its even part, against what a window brings it.
 const COLD_SAVED: f64 = 0.5;
 /// More than a cold worker bears comes in a window by a chance of less than e to the power of minus this.
 const COLD_CHANCE: f64 = 11.5;
-/// The same where each sends what comes first there, mostly less than its part, and a worker bears many jobs. Where it
-/// bears FEW or less, one job weighs more, and so does what work and size are wrongly taken to be: there it is as above.
-const COLD_CHANCE_SPARSE: f64 = 7.0;
-const FEW: f64 = 4.0;
+/// Up to so many dispatchers that save their part up, half of N in all has stayed below the bound in virtual time, where
+/// the bound's own mean leaves cold workers with long jobs next to nothing.
+const SAVERS: f64 = 20.0;
 /// Capacity of a slot, in cores of standard speed: slots are a little more than cores, cores differ.
 const CAPACITY_OF_SLOT: f64 = 0.6;
 
@@ -190,7 +189,7 @@
 ///
 /// All together must keep below N + 2 * sqrt(N) + 2 in a window, where N jobs are allowed. Whoever saves its part
 /// up sends at most one job beyond that and what it saved. Else, or where there are too many for this, their sum
-/// is taken for independent arrivals (Chernoff's bound of a Poisson distribution).
+/// is taken for independent arrivals (Chernoff's bound of a Poisson distribution). A few that save are measured.
 pub fn cold_rate(settings: &Settings, slots: f64, work: f64, saved: bool) -> f64 {
     let contract = &settings.contract;
     let (fall, dispatchers) = (contract.fall as f64 / SECOND, f64::from(settings.dispatchers));
@@ -198,11 +197,13 @@
     let most = (allowed + 2.0 * allowed.sqrt() + 2.0).floor();
     // Towards the mean that the bound allows, from below.
     let over = most + 1.0;
-    let eased = COLD_CHANCE_SPARSE + (COLD_CHANCE - COLD_CHANCE_SPARSE) * (FEW / most).min(1.0);
-    let (part, least) = if saved { (COLD_PART, COLD_CHANCE) } else { (1.0, eased) };
-    let chance = (0..4).fold(0.0, |mean, _| over * ((mean - least) / over - 1.0).exp());
-    let mean = if saved { chance.max(most - dispatchers) / (1.0 + COLD_SAVED) } else { chance };
-    mean.min(part * allowed) / dispatchers / fall.max(1e-3)
+    let chance = (0..4).fold(0.0, |mean, _| over * ((mean - COLD_CHANCE) / over - 1.0).exp());
+    let mean = match saved {
+        true if dispatchers <= SAVERS => allowed,
+        true => chance.max(most - dispatchers) / (1.0 + COLD_SAVED),
+        false => chance,
+    };
+    mean.min(COLD_PART * allowed) / dispatchers / fall.max(1e-3)
 }
 
 /// What a dispatcher has saved up of its part of a cold worker's budget (s of work).
