--- a/crates/daemon/tests/floods.rs
+++ b/crates/daemon/tests/floods.rs
@@ -17,6 +17,8 @@
 const PLACES: usize = 125;
 /// What all come to in a flood.
 const FLOOD: usize = 300;
+/// A client that was there for less than this is not answered before it has gone.
+const STAYED: Duration = Duration::from_micros(200);
 
 struct Scene {
     // Its port is kept.
@@ -83,8 +85,9 @@
     let mut gone = vec![];
     for n in 0..FLOOD {
         let jobs: String = (0..many).map(|k| job(&format!("f{n}-{k}"), "")).collect();
+        let came = Instant::now();
         drop(open(&scene.program.address, jobs.as_bytes()));
-        gone.push(Instant::now());
+        gone.push((came.elapsed(), Instant::now()));
     }
     drop(end);
     let (worked, counters) = (working.join().expect("it works"), scene.program.counters());
@@ -102,17 +105,15 @@
         times[times.len() - 1],
         tally(&worked.iter().map(|(answer, _)| answer.clone()).collect::<Vec<_>>()),
     );
-    // Its first one. Where this test stood still before it closed, its client was still there and more of it was rightly
-    // sent on: of few clients, and all of it before they had gone.
-    let client = |arrival: &Arrival| {
+    // Its first one; where this test stood still before it closed, the client was there long enough to be served rightly
+    // and more of it may have been sent on, but only before it had gone.
+    let late = |arrival: &&Arrival| {
         let (client, number) = arrival.id[1..].split_once('-').expect("its client and number");
-        (client.parse::<usize>().expect("a number"), number != "0")
+        let (stayed, gone) = gone[client.parse::<usize>().expect("a number")];
+        number != "0" && (stayed < STAYED || arrival.at > gone + Duration::from_millis(10))
     };
-    let further: Vec<_> = sent.iter().filter(|arrival| client(arrival).1).collect();
-    let late = |arrival: &&Arrival| arrival.at > gone[client(arrival).0] + Duration::from_millis(10);
-    assert!(!further.iter().copied().any(|arrival| late(&arrival)), "{further:?}");
-    let clients: std::collections::BTreeSet<_> = further.iter().map(|arrival| client(arrival).0).collect();
-    assert!(clients.len() <= 3, "{further:?}");
+    let late: Vec<_> = sent.iter().filter(late).collect();
+    assert!(late.is_empty(), "{late:?}");
     assert!(worked.iter().all(|(answer, _)| answer == "200"), "{worked:?}");
     assert!(resident <= MOST_MEMORY, "{resident} KiB");
 }
