--- a/review/2/play.rs
+++ b/review/2/play.rs
@@ -13,6 +13,8 @@
 const TOLD_AFTER: Duration = Duration::from_millis(6_000);
 /// `stop_sending_within_ns` of the settings, and what real sockets get on top.
 const GRACE: Duration = Duration::from_millis(500 + 50);
+/// The class and the tenant of the jobs.
+const JOBS: (&str, &str) = ("reading", "emmental");
 
 fn sleep_until(at: Instant) {
     sleep(at.saturating_duration_since(Instant::now()));
@@ -30,7 +32,7 @@
     sleep(ms(1_000));
 
     // Scales push their readings together, every now and then.
-    let first = batch(&record, &schedulers, 16, ms(1_000), ms(5_000));
+    let first = batch(&record, &schedulers, JOBS, 16, ms(1_000), ms(5_000));
     if !first.iter().all(|ending| matches!(ending, Ending::Answered(200, _))) {
         finish(&record, NOT_RUN, "jobs are not served before anything has happened");
     }
@@ -57,7 +59,7 @@
 
     // The next readings.
     sleep_until(silent + ms(7_600));
-    let second = batch(&record, &schedulers, 16, ms(1_500), ms(5_000));
+    let second = batch(&record, &schedulers, JOBS, 16, ms(1_500), ms(5_000));
     sleep_until(silent + ms(10_000));
     if trouble() && !discovery.come_back() {
         finish(&record, NOT_RUN, "discovery does not come back");
--- a/review/lab/lab.rs
+++ b/review/lab/lab.rs
@@ -292,6 +292,7 @@
     index: AtomicU64,
     watches: Mutex<Vec<Watch>>,
     down: AtomicBool,
+    mute: AtomicBool,
     record: Arc<Record>,
 }
 
@@ -304,13 +305,16 @@
             index: AtomicU64::new(1),
             watches: Mutex::default(),
             down: AtomicBool::new(false),
+            mute: AtomicBool::new(false),
             record: record.clone(),
         });
         discovery.clone().accept(listener);
         let beating = discovery.clone();
         thread::spawn(move || loop {
             sleep(ms(2000));
-            beating.write_to_all("");
+            if !beating.mute.load(Ordering::SeqCst) {
+                beating.write_to_all("");
+            }
         });
         discovery
     }
@@ -335,6 +339,9 @@
         stream.set_nodelay(true)?;
         let message = read_message(&mut BufReader::new(stream.try_clone()?))?;
         let mut stream = stream;
+        while self.mute.load(Ordering::SeqCst) {
+            sleep(ms(5));
+        }
         stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")?;
         let mut watches = self.watches.lock().unwrap();
         stream.write_all(chunk(&self.list(true, &self.workers)).as_bytes())?;
@@ -378,6 +385,11 @@
         }
     }
 
+    /// An agent says nothing while discovery is down. What was open stays open, and what comes up meanwhile is answered later.
+    pub fn be_mute(&self, mute: bool) {
+        self.mute.store(mute, Ordering::SeqCst);
+    }
+
     /// Discovery is back at the same address.
     pub fn come_back(self: &Arc<Self>) -> bool {
         let end = Instant::now() + ms(2000);
@@ -563,12 +575,19 @@
 }
 
 /// Hands in `count` jobs at each scheduler, evenly over a time, each by a client of its own, and waits for all answers.
-pub fn batch(record: &Arc<Record>, schedulers: &[Scheduler], count: u32, over: Duration, wait: Duration) -> Vec<Ending> {
+pub fn batch(
+    record: &Arc<Record>,
+    schedulers: &[Scheduler],
+    (class, tenant): (&'static str, &'static str),
+    count: u32,
+    over: Duration,
+    wait: Duration,
+) -> Vec<Ending> {
     let mut clients: Vec<JoinHandle<Ending>> = vec![];
     for _ in 0..count {
         for scheduler in schedulers {
             let mut client = Client::new(record, scheduler.address);
-            clients.push(thread::spawn(move || client.ask("reading", "emmental", wait)));
+            clients.push(thread::spawn(move || client.ask(class, tenant, wait)));
         }
         sleep(over / count);
     }
