Copy bodies into one buffer: kept frame by frame they cost 40 times their bytes

Hypotheses: (1) what is kept for each frame of a body; (2) the read buffers of connections; (3) input that is discarded after a rejection; (4) the queue of the scheduler loop.

Cause: `Limited::new(body, n).collect()` in `JobHandler::read_body` limits the bytes of data. `collect` keeps each frame as a `Bytes` of 32 bytes, and each of them keeps alive the part of hyper's read buffer in which it arrived, with the framing around it. The same call stood in `WorkerClient::request_load_report`, in the voters' HTTP server and client, and in the chaos tool.

Change: `nickelflow_input_memory::read_body` copies each frame into one buffer that is never larger than the limit, and drops the frame. All five places use it.

--- a/crates/chaos/src/clients.rs
+++ b/crates/chaos/src/clients.rs
@@ -7,10 +7,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::client::conn::http1::{handshake, SendRequest};
 use hyper::Request;
 use hyper_util::rt::TokioIo;
+use nickelflow_input_memory::read_body;
 use nickelflow_simulator::random::{self, Random};
 use nickelflow_simulator::scenario::Scenario;
 use nickelflow_simulator::stats::{Fate, Settled, Stats};
@@ -200,8 +201,8 @@
             let answered = async {
                 let answer = sender.send_request(request).await?;
                 let (status, after) = (answer.status().as_u16(), retry_after(&answer));
-                let body = Limited::new(answer.into_body(), LONGEST).collect().await;
-                Ok::<_, hyper::Error>((status, after, body.ok().map(|body| body.to_bytes())))
+                let body = read_body(answer.into_body(), LONGEST).await;
+                Ok::<_, hyper::Error>((status, after, body.ok()))
             };
             match tokio::time::timeout_at(give_up, answered).await {
                 Err(_) => {
--- a/crates/chaos/src/http.rs
+++ b/crates/chaos/src/http.rs
@@ -4,9 +4,10 @@
 
 use bytes::Bytes;
 use http_body_util::combinators::BoxBody;
-use http_body_util::{BodyExt, Full, Limited, StreamBody};
+use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Frame, Incoming};
 use hyper::{Response, StatusCode};
+use nickelflow_input_memory::read_body;
 use tokio::sync::mpsc;
 
 pub type Body = BoxBody<Bytes, Infallible>;
@@ -41,5 +42,5 @@
 
 /// Reads a body to its end; `None` if it breaks or is too long.
 pub async fn whole(body: Incoming) -> Option<Bytes> {
-    Limited::new(body, LONGEST).collect().await.ok().map(|body| body.to_bytes())
+    read_body(body, LONGEST).await.ok()
 }
--- a/crates/control-plane/src/http_server.rs
+++ b/crates/control-plane/src/http_server.rs
@@ -6,11 +6,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use nickelflow_input_memory::read_body;
 use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
@@ -171,9 +172,9 @@
 /// Reads a request's body and decodes it. A message that belongs to the other path is rejected.
 async fn read_request(request: Request<Incoming>) -> Result<PeerRequest, RequestError> {
     let path = request.uri().path().to_owned();
-    let body = Limited::new(request.into_body(), MAX_MESSAGE_BYTES).collect();
+    let body = read_body(request.into_body(), MAX_MESSAGE_BYTES);
     let body = match tokio::time::timeout(BODY_READ_TIMEOUT, body).await {
-        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Ok(body)) => body,
         Ok(Err(_)) => return Err(RequestError::BodyReadFailed),
         Err(_) => return Err(RequestError::BodyTimeout),
     };
--- a/crates/control-plane/src/peer_client.rs
+++ b/crates/control-plane/src/peer_client.rs
@@ -4,11 +4,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::{Request, StatusCode};
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
+use nickelflow_input_memory::read_body;
 use thiserror::Error;
 
 use crate::messages::{PeerRequest, PeerResponse, FLEET_HEADER, FORMAT, FORMAT_HEADER, MAX_MESSAGE_BYTES};
@@ -140,8 +141,8 @@
             .map_err(|e| request_failed(address, e))?;
         let response = self.client.request(request).await.map_err(|e| request_failed(address, e))?;
         let status = response.status();
-        let body = Limited::new(response.into_body(), MAX_MESSAGE_BYTES).collect().await;
-        let body = body.map_err(|e| request_failed(address, e))?.to_bytes();
+        let body = read_body(response.into_body(), MAX_MESSAGE_BYTES).await;
+        let body = body.map_err(|e| request_failed(address, e))?;
         if status != StatusCode::OK {
             let reason = String::from_utf8_lossy(&body[..body.len().min(MAX_QUOTED_BYTES)]).into_owned();
             return Err(TransportError::Rejected { address: address.to_owned(), reason });
--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -5,13 +5,14 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{HeaderName, HeaderValue, CONTENT_LENGTH, HOST};
 use hyper::http::uri::PathAndQuery;
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use nickelflow_engine::permits::{Denial, Operation};
 use nickelflow_engine::{LoadReport, Outcome};
+use nickelflow_input_memory::read_body;
 use thiserror::Error;
 use tokio::sync::{mpsc, watch};
 use tokio::time::timeout;
@@ -445,13 +446,13 @@
             }
         };
         let (status, header_report) = (response.status(), load_report_of_head(&response));
-        let Ok(body) = Limited::new(response.into_body(), MAX_RESPONSE_BYTES).collect().await else {
+        let Ok(body) = read_body(response.into_body(), MAX_RESPONSE_BYTES).await else {
             return (Outcome::Reset, None);
         };
         if checked_out.connection.wait_until_ready().await {
             self.pool.give_back(checked_out);
         }
-        let report = parse_load_report(&body.to_bytes()).or(header_report);
+        let report = parse_load_report(&body).or(header_report);
         (if status == StatusCode::OK { Outcome::Ok } else { Outcome::Error }, report)
     }
 
--- a/crates/daemon/src/job_handler.rs
+++ b/crates/daemon/src/job_handler.rs
@@ -9,12 +9,13 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONNECTION, CONTENT_TYPE, RETRY_AFTER};
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, StatusCode};
 use nickelflow_engine::{fnv1a_hash, permits};
+use nickelflow_input_memory::{read_body, BodyError};
 use tokio::time::timeout_at;
 use tower::Service;
 use tracing::debug;
@@ -182,7 +183,7 @@
         if body.size_hint().lower() > MAX_BODY_BYTES {
             return Err(too_large());
         }
-        let complete_body = Limited::new(body, MAX_BODY_BYTES as usize).collect();
+        let complete_body = read_body(body, MAX_BODY_BYTES as usize);
         let complete_body = timeout_at(self.client_connection.request_deadline().into(), complete_body);
         let complete_body = tokio::select! {
             complete_body = complete_body => complete_body,
@@ -191,9 +192,11 @@
             }
         };
         match complete_body {
-            Ok(Ok(body)) => Ok(body.to_bytes()),
-            Ok(Err(e)) if e.is::<LengthLimitError>() => Err(too_large()),
-            Ok(Err(e)) => Err(Rejection::new(StatusCode::BAD_REQUEST, format!("body: {e}"))),
+            Ok(Ok(body)) => Ok(body),
+            Ok(Err(BodyError::TooLarge(_))) => Err(too_large()),
+            Ok(Err(BodyError::Transport(e))) => {
+                Err(Rejection::new(StatusCode::BAD_REQUEST, format!("body: {e}")))
+            }
             Err(_) => Err(Rejection::new(StatusCode::REQUEST_TIMEOUT, "body not whole in time")),
         }
     }
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -217,6 +217,13 @@
         line.trim().trim_end_matches(" kB").parse().expect("KiB")
     }
 
+    /// The most memory that it has had in use (KiB).
+    pub fn peak(&self) -> u64 {
+        let status = self.proc("status");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("VmHWM");
+        line.trim().trim_end_matches(" kB").parse().expect("KiB")
+    }
+
     /// How long it has run on a processor, and how long it has waited for one.
     pub fn ran(&self) -> (Duration, Duration) {
         let figures = self.proc("schedstat");
--- /dev/null
+++ b/crates/daemon/tests/memory_limits.rs
@@ -0,0 +1,159 @@
+//! Clients that make the scheduler keep as much as its rules allow, several hundred of them at once, with usual clients
+//! beside them: the scheduler stays within the least memory that the platform gives it, and serves the usual clients.
+
+mod common;
+
+use std::collections::BTreeMap;
+use std::io;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::mpsc::channel;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use common::{config, head, job, Discovery, Does, Program, Worker, PATIENCE};
+use rstest::rstest;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::OwnedWriteHalf;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+
+/// The least memory that the platform gives a scheduler (KiB); the config has the most descriptors that it gives.
+const MEMORY_LIMIT_KIB: u64 = 32 << 10;
+/// How many bad clients come at once.
+const BAD_CLIENTS: usize = 400;
+/// How many usual clients there are.
+const USUAL_CLIENTS: usize = 10;
+/// How many jobs each usual client hands in after all bad clients have sent what they have to send.
+const LAST_JOBS: usize = 10;
+
+/// What a bad client sends on each of its connections.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Input {
+    /// A body of 60 MB in chunks of one byte.
+    EndlessTinyChunks,
+}
+
+/// What is sent on one connection: a start, and then a piece so many times.
+struct Script {
+    start: String,
+    piece: String,
+    pieces: usize,
+}
+
+impl Input {
+    fn script(self) -> Script {
+        static NUMBER: AtomicUsize = AtomicUsize::new(0);
+        let head = head(&format!("bad{}", NUMBER.fetch_add(1, Ordering::Relaxed)));
+        let chunked = format!("{head}Transfer-Encoding: chunked\r\n\r\n");
+        match self {
+            Input::EndlessTinyChunks => {
+                Script { start: chunked, piece: "1\r\nx\r\n".repeat(1_000), pieces: 60_000 }
+            }
+        }
+    }
+}
+
+impl Script {
+    async fn write(&self, writer: &mut OwnedWriteHalf) -> io::Result<()> {
+        writer.write_all(self.start.as_bytes()).await?;
+        for _ in 0..self.pieces {
+            writer.write_all(self.piece.as_bytes()).await?;
+        }
+        Ok(())
+    }
+}
+
+/// Sends the same on one connection after the other, and reads whatever it is sent, until it is told to end. Counts itself
+/// once it has sent everything on a connection, or the connection has ended.
+async fn misbehave(address: String, input: Input, done: Arc<AtomicUsize>, mut ended: watch::Receiver<bool>) {
+    let is_first = AtomicBool::new(true);
+    let count = || {
+        if is_first.swap(false, Ordering::SeqCst) {
+            done.fetch_add(1, Ordering::SeqCst);
+        }
+    };
+    while !*ended.borrow() {
+        let Ok(stream) = TcpStream::connect(&address).await else { return };
+        let (mut reader, mut writer) = stream.into_split();
+        let script = input.script();
+        let write = async {
+            if script.write(&mut writer).await.is_ok() {
+                count();
+            }
+            std::future::pending::<()>().await;
+        };
+        let read = async {
+            let mut space = [0; 4 << 10];
+            while reader.read(&mut space).await.is_ok_and(|n| n > 0) {}
+            count();
+        };
+        tokio::select! {
+            () = write => {}
+            () = read => {}
+            _ = ended.changed() => {}
+        }
+    }
+}
+
+/// Hands in one job after the other on one connection, until all bad clients have sent what they have to send and so many
+/// jobs more; returns the statuses of the answers.
+async fn work(address: String, client: usize, bad_clients: usize, done: Arc<AtomicUsize>) -> Vec<String> {
+    let mut stream = TcpStream::connect(&address).await.expect("to connect");
+    let (mut statuses, mut left) = (vec![], LAST_JOBS);
+    let end = Instant::now() + 4 * PATIENCE;
+    while left > 0 {
+        if done.load(Ordering::SeqCst) == bad_clients {
+            left -= 1;
+        }
+        assert!(
+            Instant::now() < end,
+            "only {} bad clients have sent everything",
+            done.load(Ordering::SeqCst)
+        );
+        let job = job(&format!("own{client}-{}", statuses.len()), &"x".repeat(2_000));
+        stream.write_all(job.as_bytes()).await.expect("to write");
+        let mut answer = [0; 4 << 10];
+        let answered = tokio::time::timeout(PATIENCE, stream.read(&mut answer)).await;
+        let length = answered.expect("an answer in time").expect("an answer");
+        let status = String::from_utf8_lossy(&answer[..length]).get(9..12).unwrap_or("closed").to_owned();
+        statuses.push(status);
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    statuses
+}
+
+/// Guards against crashes over the memory limit: what a client sent in small pieces was kept piece by piece, at 40 times
+/// its size.
+#[rstest]
+#[tokio::test]
+async fn memory_stays_within_the_limit_under(#[values(Input::EndlessTinyChunks)] input: Input) {
+    let (sender, _arrivals) = channel();
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let worker = Worker::start("w", listener, Does::Done, sender);
+    let discovery = Discovery::default();
+    let config = config(&[("\"memory_mb\": 192", "\"memory_mb\": 32")]);
+    let program = Program::configured(&config, &discovery.address, &[worker.entry()], None);
+    let at_start = program.resident();
+    let (end, ended) = watch::channel(false);
+    let done = Arc::<AtomicUsize>::default();
+    let address = || program.address.clone();
+    let bad: Vec<_> = (0..BAD_CLIENTS)
+        .map(|_| tokio::spawn(misbehave(address(), input, done.clone(), ended.clone())))
+        .collect();
+    let usual: Vec<_> = (0..USUAL_CLIENTS)
+        .map(|client| tokio::spawn(work(address(), client, BAD_CLIENTS, done.clone())))
+        .collect();
+    let mut answers = BTreeMap::<String, usize>::new();
+    for client in usual {
+        let statuses = client.await.expect("its answers");
+        statuses.into_iter().for_each(|status| *answers.entry(status).or_default() += 1);
+    }
+    end.send_replace(true);
+    for client in bad {
+        client.await.expect("it ends");
+    }
+    let peak = program.peak();
+    println!("{input:?}: {at_start} KiB at the start, {peak} KiB at most, usual clients: {answers:?}");
+    assert!(answers.keys().all(|status| status == "200"), "{answers:?}");
+    assert!(peak <= MEMORY_LIMIT_KIB, "{peak} KiB");
+}
--- /dev/null
+++ b/crates/input-memory/src/lib.rs
@@ -0,0 +1,9 @@
+//! Bounds on the memory that the input of peers occupies.
+//!
+//! A body that arrives in many small frames costs far more memory than it has bytes if the frames are kept:
+//! each keeps the buffer alive that it was read into, and needs bookkeeping of its own. [`read_body`] copies
+//! the frames into one buffer.
+
+mod body;
+
+pub use body::{read_body, BodyError};
