Bound the memory that the input of all clients together occupies

Several hundred clients that each send all but the end of an allowed request took a scheduler over the least memory that the platform gives (32 MB), in which case it is killed and its accepted jobs are lost.

Cause: each connection had limits (a head of 16 KiB, a body of 64 KiB, 16 KiB behind it), and nothing added them up. `limits.memory_mb` was not read. Besides, what hyper received at once (up to 16 KiB) was kept twice, and a job kept the buffer of its whole head through the slices of it that are passed on.

Change: `MemoryBudget` (crate `input-memory`) has an account for each connection, buffered input and body; its size follows from `memory_mb` (`memory_plan.rs`). When it is used up, the incomplete input that held the most for the longest is evicted and answered 503, and whoever needs the memory waits until it is free. Input of up to 4 KiB needs no room, so that usual small requests are not touched. hyper receives 4 KiB at once, bodies directly from the socket; jobs copy what they pass on of the head. The new counters `input_bytes`, `input_peak_bytes`, `input_evictions` and `input_shortages` tell charged input from other growth.

--- a/crates/daemon/src/acceptor.rs
+++ b/crates/daemon/src/acceptor.rs
@@ -16,6 +16,7 @@
 use hyper_util::rt::TokioIo;
 use hyper_util::service::TowerToHyperService;
 use nickelflow_engine::permits::{self, CloseFacts, Operation};
+use nickelflow_input_memory::{Eviction, MemoryAccount, MemoryBudget};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
@@ -27,6 +28,7 @@
 use crate::early_rejection::EarlyRejection;
 use crate::job_handler::JobHandler;
 use crate::listen::{is_shortage, BACKLOG};
+use crate::memory_plan::{CLIENT_CONNECTION_BYTES, REQUEST_IN_TRANSIT_BYTES};
 use crate::request_reader::{ClientStream, MAX_BODY_BYTES, MAX_HEAD_BYTES};
 use crate::shutdown::Shutdown;
 use crate::throttle::Throttle;
@@ -57,6 +59,7 @@
     /// The largest number of connections beyond `max` that may be open while shed connections are closing.
     max_closing: usize,
     counters: SharedCounters,
+    input_memory: Arc<MemoryBudget>,
     occupied: Mutex<OccupiedSlots>,
     freed: Notify,
 }
@@ -71,6 +74,7 @@
 struct ConnectionSlot {
     slots: Arc<ConnectionSlots>,
     number: u64,
+    _memory: MemoryAccount,
 }
 
 impl Drop for ConnectionSlot {
@@ -90,7 +94,8 @@
     }
 
     /// Acquires a slot for a new connection, and may shed existing connections to make room. Returns `None`
-    /// if all slots are in use, or if room is needed and no existing connection can be shed.
+    /// if all slots are in use, if there is no memory, or if room is needed and no existing connection can be
+    /// shed.
     fn acquire(self: &Arc<Self>, client_connection: &Arc<ClientConnection>) -> Option<ConnectionSlot> {
         let mut occupied = self.occupied();
         if occupied.connections.len() >= self.max + self.max_closing {
@@ -115,10 +120,12 @@
             ranked.min_by_key(|(rank, _)| *rank)?.1.shed();
             self.counters.shed.add();
         }
+        let memory = self.input_memory.open_account(Eviction::Forbidden);
+        memory.resize(CLIENT_CONNECTION_BYTES).ok()?;
         let number = occupied.next_number;
         occupied.next_number += 1;
         occupied.connections.insert(number, client_connection.clone());
-        Some(ConnectionSlot { slots: self.clone(), number })
+        Some(ConnectionSlot { slots: self.clone(), number, _memory: memory })
     }
 
     async fn wait_until_empty(&self) {
@@ -135,6 +142,7 @@
         max: descriptors.clients,
         max_closing: descriptors.closing_clients,
         counters: handler.counters.clone(),
+        input_memory: handler.input_memory.clone(),
         occupied: Mutex::default(),
         freed: Notify::new(),
     });
@@ -287,7 +295,9 @@
     let (shutdown, counters) = (handler.shutdown.clone(), handler.counters.clone());
     let client_connection = handler.client_connection.clone();
     debug!(client = client_connection.number, peer = ?stream.peer_addr().ok(), "client accepted");
-    let client_stream = ClientStream::new(stream, client_connection.clone());
+    let input_memory = handler.input_memory.open_account(Eviction::Allowed);
+    let input_memory = input_memory.with_overhead(REQUEST_IN_TRANSIT_BYTES);
+    let client_stream = ClientStream::new(stream, client_connection.clone(), input_memory);
     let mut connection = http1::Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
         .header_read_timeout(None)
--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -73,6 +73,8 @@
     pub seed: u64,
     /// The number of descriptors that the scheduler may use.
     pub max_descriptors: usize,
+    /// The memory that the scheduler may use (bytes).
+    pub max_memory_bytes: usize,
     /// The settings of the dispatcher.
     pub settings: Settings,
     /// The names of classes and tenants in requests.
@@ -142,6 +144,10 @@
 
 /// The number of descriptors if the file sets none: the usual limit of a process.
 const DEFAULT_DESCRIPTORS: usize = 1024;
+/// The memory if the file sets no limit (MiB).
+const DEFAULT_MEMORY_MIB: usize = 1024;
+/// The largest limit of memory that is told apart from none (MiB).
+const MAX_MEMORY_MIB: usize = 1 << 20;
 /// The largest time in a setting (ns), so that sums of times do not overflow.
 const MAX_TIME_NS: u64 = 30 * 24 * 3600 * 1_000_000_000;
 
@@ -169,10 +175,11 @@
         let value = json::decode(bytes)?;
         let root = Field::root(&value);
         let seed = root.required("seed")?;
-        let max_descriptors = match root.optional("limits")? {
-            Some(limits) => limits.optional("sockets")?.map(|sockets| sockets.integer()).transpose()?,
-            None => None,
+        let (max_descriptors, max_memory_mib) = match root.optional("limits")? {
+            Some(limits) => (whole_number(&limits, "sockets")?, whole_number(&limits, "memory_mb")?),
+            None => (None, None),
         };
+        let max_memory_mib: usize = max_memory_mib.unwrap_or(DEFAULT_MEMORY_MIB);
         let settings = root.required("settings")?;
         let zones = strings(settings.optional("zones")?)?;
         let entry_names = EntryNames { zones, kinds: strings(settings.optional("kinds")?)? };
@@ -194,6 +201,7 @@
             seed: u64::from_str_radix(seed.string()?, 16)
                 .map_err(|_| seed.error("must be a hexadecimal number"))?,
             max_descriptors: max_descriptors.unwrap_or(DEFAULT_DESCRIPTORS),
+            max_memory_bytes: max_memory_mib.min(MAX_MEMORY_MIB) << 20,
             names,
             worker_connections: WorkerConnectionConfig {
                 connect_timeout: Duration::from_nanos(time_ns(&caps, "connect_timeout_ns", 1_000_000_000)?),
@@ -272,6 +280,11 @@
     }
 }
 
+/// Reads a whole number, which may be missing.
+fn whole_number(object: &Field, name: &str) -> Result<Option<usize>, JsonError> {
+    object.optional(name)?.map(|field| field.integer()).transpose()
+}
+
 fn number(object: &Field, name: &str, default: f64) -> Result<f64, JsonError> {
     object.optional(name)?.map_or(Ok(default), |field| field.number())
 }
--- a/crates/daemon/src/counters.rs
+++ b/crates/daemon/src/counters.rs
@@ -2,10 +2,11 @@
 
 use std::fmt;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
 use nickelflow_engine::permits::{Denial, Operation};
 use nickelflow_engine::Outcome;
+use nickelflow_input_memory::{MemoryBudget, MemoryUsage};
 
 macro_rules! counters {
     ($($name:ident),* $(,)?) => {
@@ -14,6 +15,7 @@
         pub struct Counters {
             $(#[doc = concat!("The counter `", stringify!($name), "`.")] pub $name: Counter,)*
             by_violation: [[Counter; Denial::ALL.len()]; Operation::ALL.len()],
+            input_memory: OnceLock<Arc<MemoryBudget>>,
         }
 
         impl fmt::Display for Counters {
@@ -22,6 +24,12 @@
                 for (index, (name, counter)) in all.into_iter().enumerate() {
                     write!(f, "{}{name}={}", if index == 0 { "" } else { " " }, counter.get())?;
                 }
+                let MemoryUsage { used_bytes, peak_bytes, evictions, shortages } = self.input_memory_usage();
+                write!(
+                    f,
+                    " input_bytes={used_bytes} input_peak_bytes={peak_bytes} input_evictions={evictions} \
+                     input_shortages={shortages}"
+                )?;
                 for (operation, denial) in self.observed_violations() {
                     write!(
                         f,
@@ -64,6 +72,16 @@
 }
 
 impl Counters {
+    /// Adds the use of this budget to what is printed. Only the first call has an effect.
+    pub fn set_input_memory(&self, budget: Arc<MemoryBudget>) {
+        let _ = self.input_memory.set(budget);
+    }
+
+    /// Returns the use of the memory budget for the input of peers.
+    fn input_memory_usage(&self) -> MemoryUsage {
+        self.input_memory.get().map(|budget| budget.usage()).unwrap_or_default()
+    }
+
     /// Returns the counter of one kind of violation.
     pub fn violation(&self, operation: Operation, denial: Denial) -> &Counter {
         let index_or_first = |found: Option<usize>| found.unwrap_or_default();
--- a/crates/daemon/src/job_handler.rs
+++ b/crates/daemon/src/job_handler.rs
@@ -13,9 +13,10 @@
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONNECTION, CONTENT_TYPE, RETRY_AFTER};
 use hyper::http::request::Parts;
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::http::uri::{InvalidUri, PathAndQuery};
+use hyper::{Method, Request, Response, StatusCode, Uri};
 use nickelflow_engine::{fnv1a_hash, permits};
-use nickelflow_input_memory::{read_body, BodyError};
+use nickelflow_input_memory::{read_body_within, BodyError, Eviction, MemoryAccount, MemoryBudget};
 use tokio::time::timeout_at;
 use tower::Service;
 use tracing::debug;
@@ -24,6 +25,7 @@
 use crate::client_connection::ClientConnection;
 use crate::config::SettingNames;
 use crate::counters::SharedCounters;
+use crate::memory_plan::{REQUEST_IN_TRANSIT_BYTES, TRAILER_BYTES};
 use crate::request_reader::MAX_BODY_BYTES;
 use crate::scheduler_loop::{FinalAnswer, JobQueue, SubmittedJob};
 use crate::shutdown::Shutdown;
@@ -49,6 +51,8 @@
     pub open_requests: OpenRequestIds,
     /// The connection that this clone serves.
     pub client_connection: Arc<ClientConnection>,
+    /// The memory budget for the input of peers.
+    pub input_memory: Arc<MemoryBudget>,
 }
 
 /// The ids of all open requests. An id can be open only once at a time.
@@ -153,7 +157,9 @@
             .map_err(|reason| Rejection::new(StatusCode::BAD_REQUEST, reason));
         // If the head is rejected, a body that has not arrived yet is not awaited.
         let mut job = if self.client_connection.is_request_complete() { job } else { Ok(job?) }?;
-        job.request.body = self.read_body(body).await?;
+        let body_memory = self.input_memory.open_account(Eviction::Allowed);
+        let body_memory = body_memory.with_overhead(REQUEST_IN_TRANSIT_BYTES);
+        job.request.body = self.read_body(body, &body_memory).await?;
         let id = self.open_requests.open(&job.request.request_id);
         // A worker could not distinguish two open requests with the same id.
         let _id = id.ok_or(Rejection::new(StatusCode::CONFLICT, "request-id: open already"))?;
@@ -163,6 +169,7 @@
         let request_id = job.request.request_id.clone();
         self.client_connection.begin_job(&request_id);
         let answer = self.job_queue.submit(job).await;
+        drop(body_memory);
         debug!(
             client = self.client_connection.number,
             request = ?request_id,
@@ -176,24 +183,35 @@
         })
     }
 
-    async fn read_body(&self, body: Incoming) -> Result<Bytes, Rejection> {
+    /// Reads the body of a job. `memory` is the account of the body, which cannot be evicted any more once the
+    /// body is complete.
+    async fn read_body(&self, body: Incoming, memory: &MemoryAccount) -> Result<Bytes, Rejection> {
         let too_large = || Rejection::new(StatusCode::PAYLOAD_TOO_LARGE, "body over 64 KiB");
+        let out_of_memory = || Rejection::new(StatusCode::SERVICE_UNAVAILABLE, "out of memory for input");
         // A body that is announced as too large is not awaited: the client may wait for the response before
         // sending the body.
         if body.size_hint().lower() > MAX_BODY_BYTES {
             return Err(too_large());
         }
-        let complete_body = read_body(body, MAX_BODY_BYTES as usize);
+        let is_chunked = body.size_hint().upper().is_none();
+        let trailer_bytes = if is_chunked { TRAILER_BYTES } else { 0 };
+        let complete_body = read_body_within(body, MAX_BODY_BYTES as usize, memory, trailer_bytes);
         let complete_body = timeout_at(self.client_connection.request_deadline().into(), complete_body);
         let complete_body = tokio::select! {
             complete_body = complete_body => complete_body,
             () = self.shutdown.wait_for_answer_deadline() => {
                 return Err(Rejection::new(StatusCode::SERVICE_UNAVAILABLE, "ending"));
             }
+            () = memory.wait_for_eviction() => return Err(out_of_memory()),
         };
         match complete_body {
-            Ok(Ok(body)) => Ok(body),
+            Ok(Ok(body)) => {
+                memory.set_eviction(Eviction::Forbidden);
+                memory.resize(body.len()).map_err(|_| out_of_memory())?;
+                Ok(body)
+            }
             Ok(Err(BodyError::TooLarge(_))) => Err(too_large()),
+            Ok(Err(BodyError::BudgetExceeded(_))) => Err(out_of_memory()),
             Ok(Err(BodyError::Transport(e))) => {
                 Err(Rejection::new(StatusCode::BAD_REQUEST, format!("body: {e}")))
             }
@@ -209,7 +227,7 @@
         received_at: Instant,
     ) -> Result<SubmittedJob<ForwardedRequest>, String> {
         let headers = &parts.headers;
-        let request_id = single_header(headers, "request-id")?.ok_or("request-id: missing")?.clone();
+        let request_id = detached(single_header(headers, "request-id")?.ok_or("request-id: missing")?)?;
         if request_id.is_empty() {
             return Err("request-id: empty".to_owned());
         }
@@ -232,7 +250,7 @@
         let key = query.split('&').find_map(|pair| pair.strip_prefix("obj="));
         let forwarded = [HeaderName::from_static("idempotency-key"), CONTENT_TYPE];
         let forwarded =
-            forwarded.into_iter().filter_map(|name| Some((name.clone(), headers.get(name)?.clone())));
+            forwarded.into_iter().filter_map(|name| Some((name.clone(), detached(headers.get(name)?).ok()?)));
         Ok(SubmittedJob {
             request_id: request_id.clone(),
             class: class.ok_or("request-class: unknown")? as u32,
@@ -244,7 +262,7 @@
             deadline: received_at + timeout,
             request: ForwardedRequest {
                 method: parts.method,
-                target: parts.uri.path_and_query().cloned().ok_or("no path")?,
+                target: detached_target(&parts.uri)?,
                 request_id,
                 headers: forwarded.collect(),
                 body: Bytes::new(),
@@ -257,6 +275,18 @@
     }
 }
 
+/// Copies a header value, so that it does not keep the buffer of the whole head.
+fn detached(value: &HeaderValue) -> Result<HeaderValue, String> {
+    let copy = HeaderValue::from_bytes(value.as_bytes());
+    copy.map_err(|error| error.to_string())
+}
+
+/// Copies the path and query of a request, so that they do not keep the buffer of the whole head.
+fn detached_target(uri: &Uri) -> Result<PathAndQuery, String> {
+    let target = uri.path_and_query().ok_or("no path")?;
+    target.as_str().parse().map_err(|error: InvalidUri| error.to_string())
+}
+
 /// Returns the value of a header that may be missing but must not be repeated.
 fn single_header<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a HeaderValue>, String> {
     let mut values = headers.get_all(name).iter();
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -15,6 +15,7 @@
 mod json;
 mod line_reader;
 pub mod listen;
+pub mod memory_plan;
 mod request_reader;
 pub mod rules_conversion;
 pub mod scheduler_loop;
@@ -39,12 +40,13 @@
 use tokio::task::JoinError;
 use tracing::info;
 
-use crate::attempt::WorkerClient;
+use crate::attempt::{ForwardedRequest, WorkerClient};
 use crate::client_connection::ClientConnection;
 use crate::config::Config;
 use crate::counters::SharedCounters;
 use crate::discovery::{DiscoveryClient, WatchTiming};
 use crate::job_handler::{JobHandler, OpenRequestIds};
+use crate::memory_plan::MemoryPlan;
 use crate::scheduler_loop::{Command, Event, JobQueue, SchedulerLoop};
 use crate::shutdown::Shutdown;
 
@@ -94,6 +96,12 @@
     LoopEnded(Result<(), JoinError>),
 }
 
+/// Tells the scheduler loop when the shutdown begins.
+async fn announce_shutdown(shutdown: Shutdown, events: mpsc::UnboundedSender<Event<ForwardedRequest>>) {
+    let deadline = shutdown.wait_for_start().await;
+    let _ = events.send(Event::Shutdown { deadline });
+}
+
 /// Serves until the shutdown is complete and every job is answered. `active_rules` has the rules that all
 /// schedulers have adopted; it is `None` without a control plane.
 ///
@@ -111,6 +119,9 @@
     let (queue, inputs) = mpsc::unbounded_channel();
     let (watch_requests, watch_requested) = mpsc::unbounded_channel();
     let descriptors = DescriptorBudget::for_limit(config.max_descriptors);
+    let memory = MemoryPlan::for_limit(config.max_memory_bytes, config.initial_endpoints.entries.len());
+    let input_memory = memory.input_budget();
+    counters.set_input_memory(input_memory.clone());
     let worker_client =
         WorkerClient::new(descriptors.workers, config.worker_connections, counters.clone(), queue.clone());
     tokio::spawn(worker_client.clone().close_expired_connections());
@@ -143,11 +154,7 @@
             queue.clone(),
         ));
     }
-    let observer_and_queue = (shutdown.clone(), queue.clone());
-    tokio::spawn(async move {
-        let answer_by = observer_and_queue.0.wait_for_start().await;
-        let _ = observer_and_queue.1.send(Event::Shutdown { deadline: answer_by });
-    });
+    tokio::spawn(announce_shutdown(shutdown.clone(), queue.clone()));
     let scheduler_loop = SchedulerLoop::new(config.settings, config.seed, counters.clone(), execute_command);
     let scheduler_loop = scheduler_loop?;
     let scheduler_loop = tokio::spawn(scheduler_loop.run(inputs));
@@ -160,6 +167,7 @@
         shutdown,
         open_requests: OpenRequestIds::default(),
         client_connection: ClientConnection::new(),
+        input_memory,
     };
     tokio::select! {
         () = acceptor::serve(listener, handler, descriptors) => Ok(()),
--- a/crates/daemon/src/request_reader.rs
+++ b/crates/daemon/src/request_reader.rs
@@ -14,6 +14,7 @@
 
 use bytes::{Buf, BytesMut};
 use hyper::StatusCode;
+use nickelflow_input_memory::MemoryAccount;
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -28,12 +29,19 @@
 /// 32 MB for hundreds of connections.
 pub const MAX_HEAD_BYTES: usize = 16 << 10;
 const MAX_HEADERS: usize = 100;
+/// How much is read at once.
+const READ_BYTES: usize = 4 << 10;
+/// How much hyper receives at once. hyper enlarges its buffers for larger reads.
+const MAX_FORWARDED_BYTES: usize = 4 << 10;
 /// The largest number of reads in one check for a client's disconnection: a client that keeps writing is
 /// connected.
 const MAX_CHECK_READS: usize = 16;
 
 const TOO_LARGE: EarlyRejection =
     EarlyRejection::new(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE, "head over 16 KiB");
+/// The rejection of a request that the memory budget has no room for.
+const OUT_OF_MEMORY: EarlyRejection =
+    EarlyRejection::new(StatusCode::SERVICE_UNAVAILABLE, "out of memory for input");
 const MALFORMED: EarlyRejection = EarlyRejection::new(StatusCode::BAD_REQUEST, "malformed head");
 const BAD_LENGTH: EarlyRejection =
     EarlyRejection::new(StatusCode::BAD_REQUEST, "content-length: must be one whole number");
@@ -50,6 +58,8 @@
     stream: TcpStream,
     client_connection: Arc<ClientConnection>,
     buffer: BytesMut,
+    /// The account of the buffer.
+    input_memory: MemoryAccount,
     /// The number of bytes, buffered or still to come, that belong to the request that hyper may read.
     forwardable_bytes: u64,
     /// The number of bytes at the start of the buffer that were searched without finding a complete head.
@@ -58,12 +68,18 @@
 }
 
 impl ClientStream {
-    /// Creates the stream and registers its check for the client's disconnection.
-    pub fn new(stream: TcpStream, client_connection: Arc<ClientConnection>) -> ClientStream {
+    /// Creates the stream and registers its check for the client's disconnection. `input_memory` is the
+    /// account of the input that is buffered.
+    pub fn new(
+        stream: TcpStream,
+        client_connection: Arc<ClientConnection>,
+        input_memory: MemoryAccount,
+    ) -> ClientStream {
         let request_reader = RequestReader {
             stream,
             client_connection: client_connection.clone(),
             buffer: BytesMut::new(),
+            input_memory,
             forwardable_bytes: 0,
             searched: 0,
             has_ended: false,
@@ -88,6 +104,7 @@
     pub fn poll_disconnected(&self, cx: &mut Context) -> Poll<()> {
         let mut request_reader = self.request_reader();
         while !request_reader.has_ended && request_reader.awaits_response() {
+            ready!(request_reader.poll_reserve(cx));
             if ready!(request_reader.fill_buffer(cx)).is_err() {
                 request_reader.has_ended = true;
             }
@@ -103,7 +120,8 @@
     /// Reads and discards input. Returns the number of bytes read, or 0 at the end of the stream.
     pub fn poll_discard(&self, cx: &mut Context) -> Poll<io::Result<usize>> {
         let mut request_reader = self.request_reader();
-        request_reader.buffer.clear();
+        request_reader.buffer = BytesMut::new();
+        request_reader.charge_buffer();
         ready!(request_reader.fill_buffer(cx))?;
         Poll::Ready(Ok(request_reader.buffer.len()))
     }
@@ -122,20 +140,54 @@
     }
 
     /// Discards pipelined input of more than [`MAX_HEAD_BYTES`]: a client that waits for responses does not
-    /// send more than [`MAX_HEAD_BYTES`] ahead. After a discard, the connection closes after the current
-    /// request.
+    /// send more than [`MAX_HEAD_BYTES`] ahead.
     fn discard_excess(&mut self) {
         if self.buffer.len() > MAX_HEAD_BYTES {
-            (self.buffer, self.searched) = (BytesMut::new(), 0);
-            self.client_connection.state().closes_after_request = true;
+            self.discard_pipelined();
         }
     }
 
+    /// Discards the input behind the current request. The connection closes after the current request.
+    fn discard_pipelined(&mut self) {
+        (self.buffer, self.searched) = (BytesMut::new(), 0);
+        self.client_connection.state().closes_after_request = true;
+        self.charge_buffer();
+    }
+
+    /// Charges the memory of the buffer. Input that the memory budget has no room for is given up.
+    fn charge_buffer(&mut self) {
+        if self.input_memory.resize(self.buffer.capacity()).is_err() {
+            self.give_up_input();
+        }
+    }
+
+    /// Charges the memory that the buffer has after the next read, as soon as that memory is free. Input that
+    /// the memory budget has no room for is given up.
+    fn poll_reserve(&mut self, cx: &mut Context) -> Poll<()> {
+        if ready!(self.input_memory.poll_resize(self.buffer.len() + READ_BYTES, cx)).is_err() {
+            self.give_up_input();
+        }
+        Poll::Ready(())
+    }
+
+    /// Discards what is buffered: pipelined input, or a request that has not arrived completely, which is
+    /// rejected.
+    fn give_up_input(&mut self) {
+        if self.buffer.is_empty() {
+            return;
+        }
+        if self.awaits_response() {
+            return self.discard_pipelined();
+        }
+        (self.buffer, self.searched) = (BytesMut::new(), 0);
+        self.client_connection.state().rejection.get_or_insert(OUT_OF_MEMORY);
+    }
+
     /// Returns whether the client of a job that is in flight has disconnected. Reads the input that the
     /// kernel has buffered, whether or not the runtime has been notified of the input. Bytes that are read
     /// are kept for the next call of the service.
     fn check_disconnected(&mut self) -> bool {
-        let mut chunk = [0; 8 << 10];
+        let mut chunk = [0; READ_BYTES];
         for _ in 0..MAX_CHECK_READS {
             if self.has_ended || !self.awaits_response() {
                 break;
@@ -144,6 +196,7 @@
                 Ok(0) => self.has_ended = true,
                 Ok(n) => {
                     self.buffer.extend_from_slice(&chunk[..n]);
+                    self.charge_buffer();
                     self.discard_excess();
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
@@ -156,7 +209,7 @@
 
     /// Reads once from the stream into the buffer.
     fn fill_buffer(&mut self, cx: &mut Context) -> Poll<io::Result<()>> {
-        let mut chunk = [0; 8 << 10];
+        let mut chunk = [0; READ_BYTES];
         let mut read = ReadBuf::new(&mut chunk);
         ready!(retry_interrupted(|| Pin::new(&mut self.stream).poll_read(cx, &mut read)))?;
         self.has_ended = read.filled().is_empty();
@@ -164,6 +217,46 @@
         Poll::Ready(Ok(()))
     }
 
+    /// Returns how many bytes hyper may receive at once now.
+    fn max_forwarded(&self, output: &ReadBuf) -> usize {
+        let forwardable = usize::try_from(self.forwardable_bytes).unwrap_or(usize::MAX);
+        forwardable.min(output.remaining()).min(MAX_FORWARDED_BYTES)
+    }
+
+    /// Passes buffered bytes of the request on to hyper.
+    fn forward_buffered(&mut self, output: &mut ReadBuf) {
+        let length = self.buffer.len().min(self.max_forwarded(output));
+        output.put_slice(&self.buffer[..length]);
+        self.buffer.advance(length);
+        self.searched = 0;
+        if self.buffer.is_empty() {
+            self.buffer = BytesMut::new();
+            self.charge_buffer();
+        }
+        self.record_forwarded(length);
+    }
+
+    /// Reads the rest of the request from the stream, and passes it on to hyper without buffering it.
+    fn forward_from_stream(&mut self, cx: &mut Context, output: &mut ReadBuf) -> Poll<io::Result<()>> {
+        let mut chunk = [0; MAX_FORWARDED_BYTES];
+        let mut read = ReadBuf::new(&mut chunk[..self.max_forwarded(output)]);
+        ready!(retry_interrupted(|| Pin::new(&mut self.stream).poll_read(cx, &mut read)))?;
+        self.has_ended = read.filled().is_empty();
+        output.put_slice(read.filled());
+        self.record_forwarded(read.filled().len());
+        Poll::Ready(Ok(()))
+    }
+
+    /// Counts bytes of the request that hyper has received. After the last one, the request awaits its response.
+    fn record_forwarded(&mut self, length: usize) {
+        self.forwardable_bytes -= length as u64;
+        if self.forwardable_bytes == 0 {
+            let mut state = self.client_connection.state();
+            (state.request_started_at, state.has_request_bytes, state.awaits_response) = (None, false, true);
+            state.idle_since = Instant::now();
+        }
+    }
+
     /// Searches the start of the buffer for a complete head, and releases the head and the body of the
     /// request to hyper.
     fn parse_next_head(&mut self) {
@@ -248,6 +341,9 @@
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context, output: &mut ReadBuf) -> Poll<io::Result<()>> {
         let reader = &mut *self.request_reader();
         loop {
+            if reader.input_memory.poll_evicted(cx).is_ready() {
+                reader.give_up_input();
+            }
             if reader.awaits_response() {
                 // Bytes that arrive now belong to the next call of the service, and `poll_disconnected`
                 // detects the end of the stream.
@@ -263,26 +359,16 @@
                 return if reader.client_connection.has_active_call() { Poll::Pending } else { invalid };
             }
             if reader.forwardable_bytes > 0 && !reader.buffer.is_empty() {
-                let available = reader.buffer.len().min(output.remaining());
-                let n = available.min(usize::try_from(reader.forwardable_bytes).unwrap_or(usize::MAX));
-                output.put_slice(&reader.buffer[..n]);
-                reader.buffer.advance(n);
-                reader.forwardable_bytes -= n as u64;
-                reader.searched = 0;
-                if reader.forwardable_bytes == 0 {
-                    let mut state = reader.client_connection.state();
-                    (state.request_started_at, state.has_request_bytes, state.awaits_response) =
-                        (None, false, true);
-                    state.idle_since = Instant::now();
-                }
-                if reader.buffer.is_empty() {
-                    reader.buffer = BytesMut::new();
-                }
+                reader.forward_buffered(output);
                 return Poll::Ready(Ok(()));
             }
             if reader.has_ended {
                 return Poll::Ready(Ok(()));
             }
+            if reader.forwardable_bytes > 0 {
+                return reader.forward_from_stream(cx, output);
+            }
+            ready!(reader.poll_reserve(cx));
             ready!(reader.fill_buffer(cx))?;
         }
     }
--- a/crates/daemon/tests/memory_limits.rs
+++ b/crates/daemon/tests/memory_limits.rs
@@ -31,6 +31,20 @@
 enum Input {
     /// A body of 60 MB in chunks of one byte.
     EndlessTinyChunks,
+    /// All but the end of the largest body that is allowed, in one piece.
+    UnfinishedBody,
+    /// The same in chunks of one byte.
+    UnfinishedTinyChunks,
+    /// All but the end of the largest head that is allowed.
+    UnfinishedHead,
+    /// The same with many fields in it.
+    UnfinishedFields,
+    /// All but the end of the largest trailer that is allowed.
+    UnfinishedTrailer,
+    /// A job with the largest body that is allowed, and more input behind it.
+    Pipelined,
+    /// Nothing.
+    Nothing,
 }
 
 /// What is sent on one connection: a start, and then a piece so many times.
@@ -45,15 +59,27 @@
         static NUMBER: AtomicUsize = AtomicUsize::new(0);
         let head = head(&format!("bad{}", NUMBER.fetch_add(1, Ordering::Relaxed)));
         let chunked = format!("{head}Transfer-Encoding: chunked\r\n\r\n");
+        let whole_body = format!("{head}Content-Length: 65536\r\n\r\n");
+        let tiny_chunks = "1\r\nx\r\n".repeat(1_000);
+        let filler = "x".repeat(1_000);
         match self {
-            Input::EndlessTinyChunks => {
-                Script { start: chunked, piece: "1\r\nx\r\n".repeat(1_000), pieces: 60_000 }
-            }
+            Input::EndlessTinyChunks => Script::new(chunked, tiny_chunks, 60_000),
+            Input::UnfinishedBody => Script::new(whole_body, filler, 65),
+            Input::UnfinishedTinyChunks => Script::new(chunked, tiny_chunks, 65),
+            Input::UnfinishedHead => Script::new(head + "X-Fill: ", filler, 15),
+            Input::UnfinishedFields => Script::new(head + &"X: y\r\n".repeat(90) + "X-Fill: ", filler, 15),
+            Input::UnfinishedTrailer => Script::new(chunked + "1\r\nx\r\n0\r\nX-Fill: ", filler, 15),
+            Input::Pipelined => Script::new(whole_body + &"x".repeat(65_536), filler, 15),
+            Input::Nothing => Script::new(String::new(), String::new(), 0),
         }
     }
 }
 
 impl Script {
+    fn new(start: String, piece: String, pieces: usize) -> Script {
+        Script { start, piece, pieces }
+    }
+
     async fn write(&self, writer: &mut OwnedWriteHalf) -> io::Result<()> {
         writer.write_all(self.start.as_bytes()).await?;
         for _ in 0..self.pieces {
@@ -126,7 +152,19 @@
 /// its size.
 #[rstest]
 #[tokio::test]
-async fn memory_stays_within_the_limit_under(#[values(Input::EndlessTinyChunks)] input: Input) {
+async fn memory_stays_within_the_limit_under(
+    #[values(
+        Input::EndlessTinyChunks,
+        Input::UnfinishedBody,
+        Input::UnfinishedTinyChunks,
+        Input::UnfinishedHead,
+        Input::UnfinishedFields,
+        Input::UnfinishedTrailer,
+        Input::Pipelined,
+        Input::Nothing
+    )]
+    input: Input,
+) {
     let (sender, _arrivals) = channel();
     let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
     let worker = Worker::start("w", listener, Does::Done, sender);
@@ -153,7 +191,12 @@
         client.await.expect("it ends");
     }
     let peak = program.peak();
-    println!("{input:?}: {at_start} KiB at the start, {peak} KiB at most, usual clients: {answers:?}");
+    let counters = program.counters();
+    println!(
+        "{input:?}: {at_start} KiB at the start, {peak} KiB at most, usual clients: {answers:?}, input: {} bytes at most, \
+         {} evictions, {} shortages",
+        counters["input_peak_bytes"], counters["input_evictions"], counters["input_shortages"],
+    );
     assert!(answers.keys().all(|status| status == "200"), "{answers:?}");
     assert!(peak <= MEMORY_LIMIT_KIB, "{peak} KiB");
 }
--- a/crates/input-memory/src/lib.rs
+++ b/crates/input-memory/src/lib.rs
@@ -2,8 +2,10 @@
 //!
 //! A body that arrives in many small frames costs far more memory than it has bytes if the frames are kept:
 //! each keeps the buffer alive that it was read into, and needs bookkeeping of its own. [`read_body`] copies
-//! the frames into one buffer.
+//! the frames into one buffer. [`MemoryBudget`] bounds what all peers occupy together.
 
 mod body;
+mod budget;
 
-pub use body::{read_body, BodyError};
+pub use body::{read_body, read_body_within, BodyError};
+pub use budget::{BudgetExceeded, Eviction, MemoryAccount, MemoryBudget, MemoryUsage};
--- a/crates/input-memory/tests/body.rs
+++ b/crates/input-memory/tests/body.rs
@@ -7,9 +7,14 @@
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame};
-use nickelflow_input_memory::{read_body, BodyError};
+use nickelflow_input_memory::{
+    read_body, read_body_within, BodyError, BudgetExceeded, Eviction, MemoryBudget,
+};
 use rstest::rstest;
 
+/// What a body occupies besides its buffer.
+const EXTRA_BYTES: usize = 100;
+
 /// A body of frames that are slices of larger buffers, as hyper passes them on.
 struct Frames(VecDeque<Bytes>);
 
@@ -63,3 +68,25 @@
     let read = read_body(Frames::new(65_537, 1), 65_536).await;
     assert!(matches!(read, Err(BodyError::TooLarge(65_536))), "{read:?}");
 }
+
+#[rstest]
+#[case(1, 1)]
+#[case(65_536, 1)]
+#[case(3, 20_000)]
+#[tokio::test]
+async fn the_charge_covers_the_body_and_never_exceeds_the_limit(
+    #[case] count: usize,
+    #[case] frame_bytes: usize,
+) {
+    let budget = MemoryBudget::new(65_536 + EXTRA_BYTES, 0);
+    let account = budget.open_account(Eviction::Allowed);
+    read_body_within(Frames::new(count, frame_bytes), 65_536, &account, EXTRA_BYTES).await.expect("the body");
+    assert!(budget.usage().peak_bytes >= count * frame_bytes + EXTRA_BYTES, "{:?}", budget.usage());
+}
+
+#[tokio::test]
+async fn a_body_over_the_budget_is_not_read_on() {
+    let account = MemoryBudget::new(10, 0).open_account(Eviction::Allowed);
+    let read = read_body_within(Frames::new(2, 10), 65_536, &account, 0).await;
+    assert!(matches!(read, Err(BodyError::BudgetExceeded(BudgetExceeded))), "{read:?}");
+}
