Bound what workers make the scheduler keep: queued progress and read buffers

Cause, progress: `WorkerClient::read_lines` queued an event for each line. The queue is unbounded, and a task that reads a full buffer of lines queues hundreds of events while the scheduler loop handles one batch. Cause, heads and bodies: connections to workers had hyper's default of 408 KiB for the read buffer, which a peer at full speed fills.

Change: an attempt has at most one progress event in the queue, for a second one tells the loop nothing more. The read buffer is limited to 8 KiB, which limits the head of a response too; bodies are read through it piece by piece.

--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -23,7 +23,7 @@
 use crate::counters::{outcome_name, SharedCounters};
 use crate::line_reader::{LineError, LineReader};
 use crate::scheduler_loop::{
-    AttemptId, AttemptRequest, AttemptResult, Event, RetrySafety, RulesLease, StopLevel,
+    AttemptId, AttemptRequest, AttemptResult, Event, PendingProgress, RetrySafety, RulesLease, StopLevel,
 };
 use crate::violations;
 use crate::worker_answer::{
@@ -362,6 +362,7 @@
         attempt: &Attempt,
         request: &ForwardedRequest,
     ) -> Result<AttemptResult, ResponseError> {
+        let progress = PendingProgress::default();
         loop {
             let line = lines.next_line().await?.ok_or(ResponseError::Incomplete)?;
             if line.iter().all(u8::is_ascii_whitespace) {
@@ -369,7 +370,9 @@
             }
             match WorkerMessage::parse(&line, request.request_id.as_bytes()) {
                 Ok(WorkerMessage::Progress) => {
-                    drop(self.event_queue.send(Event::Progress { id: attempt.id }))
+                    if let Some(pending) = progress.next() {
+                        drop(self.event_queue.send(Event::Progress { id: attempt.id, pending }));
+                    }
                 }
                 Ok(WorkerMessage::Ended(result)) => return Ok(result),
                 Err(error) => {
--- a/crates/daemon/src/connection.rs
+++ b/crates/daemon/src/connection.rs
@@ -14,7 +14,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::client::conn::http1::{handshake, SendRequest};
+use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use nickelflow_engine::permits::Denial;
@@ -27,6 +27,9 @@
 use crate::listen::is_shortage;
 use crate::write_guard::WriteGuard;
 
+/// The size of a connection's read buffer, which limits the head of a response and each read of its body.
+const MAX_READ_BUFFER_BYTES: usize = 8 << 10;
+
 /// A connection to a worker or to discovery.
 pub struct Connection {
     /// The unique number of this connection, for logs.
@@ -184,7 +187,7 @@
             stream.set_nodelay(true).map_err(ConnectError::from_io_error)?;
             let send_state = Arc::<SendState>::default();
             let io = TokioIo::new(GuardedStream { stream, send_state: send_state.clone() });
-            let handshake_result = handshake(io).await;
+            let handshake_result = Builder::new().max_buf_size(MAX_READ_BUFFER_BYTES).handshake(io).await;
             let (sender, connection) =
                 handshake_result.map_err(|e| ConnectError::Refused(io::Error::other(e.to_string())))?;
             let driver = tokio::spawn(async move {
--- a/crates/daemon/src/scheduler_loop.rs
+++ b/crates/daemon/src/scheduler_loop.rs
@@ -22,8 +22,8 @@
 
 use crate::counters::{outcome_name, SharedCounters};
 pub use crate::scheduler_messages::{
-    AdoptedRules, AttemptId, AttemptRequest, AttemptResult, Command, Event, FinalAnswer, RetrySafety,
-    RulesLease, SubmittedJob, WorkerEndpoint,
+    AdoptedRules, AttemptId, AttemptRequest, AttemptResult, Command, Event, FinalAnswer, PendingProgress,
+    RetrySafety, RulesLease, SubmittedJob, WorkerEndpoint,
 };
 use crate::start_times::StartTimes;
 use crate::violations;
@@ -199,7 +199,7 @@
                 }
                 Input::ClientDisconnected { job_id: job }
             }
-            Event::Progress { id: AttemptId { job, attempt } } => {
+            Event::Progress { id: AttemptId { job, attempt }, pending: _ } => {
                 debug!(job, attempt, "attempt reported progress");
                 Input::Progress { job_id: job, attempt }
             }
--- a/crates/daemon/src/scheduler_messages.rs
+++ b/crates/daemon/src/scheduler_messages.rs
@@ -69,6 +69,8 @@
     Progress {
         /// The attempt.
         id: AttemptId,
+        /// Lives while the event is in the queue.
+        pending: PendingProgress,
     },
     /// An attempt has ended.
     AttemptEnded {
@@ -102,6 +104,18 @@
     },
 }
 
+/// Marks the progress of an attempt that the scheduler loop has not handled yet. A worker may report progress
+/// faster than the loop handles it, and a second event in the queue tells the loop nothing more.
+#[derive(Debug, Default)]
+pub struct PendingProgress(Arc<()>);
+
+impl PendingProgress {
+    /// Returns the mark for an event, or `None` while the event before it is in the queue.
+    pub(crate) fn next(&self) -> Option<PendingProgress> {
+        (Arc::strong_count(&self.0) == 1).then(|| PendingProgress(self.0.clone()))
+    }
+}
+
 /// The rules that all schedulers have adopted.
 #[derive(Clone)]
 pub struct AdoptedRules {
