--- a/crates/daemon/src/discovery.rs
+++ b/crates/daemon/src/discovery.rs
@@ -173,7 +173,10 @@
         if !self.timing.uses_agent {
             tokio::select! {
                 requested = self.watch_requests.recv() => if requested.is_none() { return },
-                () = address_changed(&mut self.address) => moved_at = Some(Instant::now()),
+                () = address_changed(&mut self.address) => {
+                    moved_at = Some(Instant::now());
+                    freshness.mark_moved();
+                }
             }
         }
         while !self.events.is_closed() {
--- a/crates/daemon/tests/discovery.rs
+++ b/crates/daemon/tests/discovery.rs
@@ -15,7 +15,7 @@
 use nickelflow_daemon::scheduler_loop::Event;
 use nickelflow_engine::ListKind;
 use rstest::rstest;
-use tokio::io::AsyncReadExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::sync::{mpsc, watch};
 
 fn timing(pushed: bool, schedulers: u32, grace_ms: u64) -> WatchTiming {
@@ -531,6 +531,101 @@
     assert!(stale.await.is_err());
 }
 
+/// How discovery goes down after it has sent a line.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum GoesDown {
+    /// Its watches end, and connections are refused.
+    Refuses,
+    /// Its watches fall silent first. They end once the client has given the silent one up.
+    SilentFirst,
+    /// Its watches end, and connections are not accepted any more.
+    CutOff,
+    /// It comes back for a moment, in which its watches are answered with nothing, and is down again.
+    Twice,
+}
+
+const WATCH_HEAD: &[u8] = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+const HEARTBEAT: &[u8] = b"1\r\n\n\r\n";
+
+/// Accepts the next call for a watch, and answers it with a line.
+async fn answer_watch(listener: &tokio::net::TcpListener) -> tokio::net::TcpStream {
+    loop {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        // A connection that only looks whether discovery can be reached brings no call.
+        if stream.read(&mut [0; 1024]).await.is_ok_and(|length| length > 0) {
+            stream.write_all(&[WATCH_HEAD, HEARTBEAT].concat()).await.expect("to write");
+            return stream;
+        }
+    }
+}
+
+/// Guards against work for draining workers: refused connections counted as proof that discovery had nothing to tell since
+/// the last line of a watch, although the watch may have been silent and discovery within reach until then.
+#[rstest]
+#[tokio::test]
+async fn an_outage_right_after_a_silent_watch_does_not_hide_that_the_list_is_stale(
+    #[values(GoesDown::Refuses, GoesDown::SilentFirst, GoesDown::CutOff, GoesDown::Twice)] down: GoesDown,
+) {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("its address");
+    let mut told = client(address, false);
+    assert_eq!(next(&mut told).await, ListKind::Cached);
+    let watch = answer_watch(&listener).await;
+    // From here on the watch may miss changes, all of which count as told by then.
+    let told_by = tokio::time::Instant::now() + MAX_NOTIFICATION_DELAY;
+    let stale = async {
+        match down {
+            GoesDown::SilentFirst => drop(listener.accept().await.expect("another call")),
+            GoesDown::CutOff => {
+                drop(watch);
+                let kept = fill_backlog(&listener).await;
+                let kind = next(&mut told).await;
+                drop(kept);
+                return kind;
+            }
+            GoesDown::Twice => {
+                drop(watch);
+                drop(listener.accept().await.expect("another call"));
+            }
+            GoesDown::Refuses => drop(watch),
+        }
+        drop(listener);
+        next(&mut told).await
+    };
+    let kind = tokio::time::timeout_at(told_by, stale).await.expect("to be told in time");
+    assert_eq!(kind, ListKind::Stale);
+}
+
+/// Lets no further connection to the listener come up.
+async fn fill_backlog(listener: &tokio::net::TcpListener) -> Vec<tokio::net::TcpStream> {
+    let address = listener.local_addr().expect("its address");
+    let mut kept = vec![];
+    while let Ok(Ok(stream)) =
+        tokio::time::timeout(Duration::from_millis(100), tokio::net::TcpStream::connect(address)).await
+    {
+        kept.push(stream);
+    }
+    kept
+}
+
+/// Guards against work for draining workers where discovery has moved to an address that nobody answers at: what it has to
+/// tell counts as told 4 s after the move, whether or not it can be reached.
+#[rstest]
+#[tokio::test]
+async fn a_move_to_where_nobody_answers_makes_the_list_stale(#[values(true, false)] was_reached: bool) {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let (_closed_socket, unreachable) = closed();
+    let first = if was_reached { listener.local_addr().expect("its address") } else { unreachable };
+    let (mut told, discovery) = client_that_moves(first, false);
+    assert_eq!(next(&mut told).await, ListKind::Cached);
+    let _watch = if was_reached { Some(answer_watch(&listener).await) } else { None };
+    let (_other_socket, other) = closed();
+    let told_by = tokio::time::Instant::now() + Duration::from_secs(4);
+    discovery.send(other).expect("a client");
+    let kind = tokio::time::timeout_at(told_by, next(&mut told)).await.expect("to be told in time");
+    assert_eq!(kind, ListKind::Stale);
+}
+
 #[tokio::test]
 async fn after_a_move_the_list_may_be_stale_sooner() {
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
