Judge whether the worker list is stale also where lists are pushed

Cause: `DiscoveryClient::run` ran the monitor of staleness only where lists are asked for. The reason given, that an agent's scheduler counts as told of what the agent has, holds for an agent that can be asked; one that knew of a drain and went silent with discovery cannot.

Change: the monitor always runs. A connection to an agent proves nothing, for an agent accepts them while it is silent; an answer proves that it could be asked, and a call without one, at the start, that it could not.

Failed before: `an_agent_that_is_silent_after_a_line_makes_the_list_stale` (both cases), `an_agent_that_is_silent_within_its_first_answer_makes_the_list_stale`, and `a_move_to_where_nobody_answers_makes_the_list_stale` where pushed (both cases), each "to be told in time: Elapsed".

--- a/crates/daemon/src/discovery.rs
+++ b/crates/daemon/src/discovery.rs
@@ -157,12 +157,10 @@
     /// Watches the list until the scheduler loop has ended. `initial_list` is the list at the start.
     pub async fn run(self, initial_list: EndpointList) {
         let (list_freshness, freshness) = ListFreshness::at_start();
-        let (events, max_age, uses_agent) =
-            (self.events.clone(), self.timing.max_list_age(), self.timing.uses_agent);
+        let (events, max_age) = (self.events.clone(), self.timing.max_list_age());
         tokio::select! {
             () = self.maintain_watch(initial_list, list_freshness) => {}
-            // The scheduler counts as notified of what an agent has, and of nothing else.
-            () = monitor_staleness(events, max_age, freshness), if !uses_agent => {}
+            () = monitor_staleness(events, max_age, freshness) => {}
         }
     }
 
@@ -230,7 +228,10 @@
         let started_at = Instant::now();
         match Connection::open(address, self.timing.connect_timeout()).await {
             Ok(connection) => {
-                freshness.mark_reached();
+                // An agent accepts connections also while discovery is down.
+                if !self.timing.uses_agent {
+                    freshness.mark_reached();
+                }
                 Ok(connection)
             }
             Err(why) => {
@@ -259,16 +260,23 @@
         loop {
             let connection =
                 self.connect(address, freshness).await.map_err(|why| (WatchEnd::Unreachable, why))?;
+            let called_at = Instant::now();
             let mut call: PendingCall = Box::pin(request_watch(connection, address, since));
             let failure = tokio::select! {
                 biased;
                 established = await_earlier_call(&mut first_call) => return Ok(established),
-                result = &mut call => match result {
-                    Ok(established) => return Ok(established),
-                    Err(failure) => failure,
-                },
+                result = &mut call => {
+                    freshness.mark_reached();
+                    match result {
+                        Ok(established) => return Ok(established),
+                        Err(failure) => failure,
+                    }
+                }
                 () = tokio::time::sleep(self.timing.response_timeout()) => {
-                    if !self.timing.uses_agent {
+                    if self.timing.uses_agent {
+                        // An agent is silent while discovery is down, and learns nothing.
+                        freshness.mark_unreachable(called_at);
+                    } else {
                         first_call.get_or_insert(call);
                     }
                     (WatchEnd::Silent, "no answer in time".to_owned())
--- a/crates/daemon/tests/discovery.rs
+++ b/crates/daemon/tests/discovery.rs
@@ -608,15 +608,68 @@
     kept
 }
 
+/// Guards against work for draining workers where lists are pushed: whether a silent watch had missed something was not
+/// considered at all.
+#[rstest]
+#[tokio::test]
+async fn an_agent_that_is_silent_after_a_line_makes_the_list_stale(#[values(true, false)] watch_ends: bool) {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let mut told = client(listener.local_addr().expect("its address"), true);
+    assert_eq!(next(&mut told).await, ListKind::Cached);
+    let mut streams = vec![answer_watch(&listener).await];
+    let told_by = tokio::time::Instant::now() + MAX_NOTIFICATION_DELAY;
+    if watch_ends {
+        streams.clear();
+    }
+    let stale = async {
+        tokio::select! {
+            kind = next(&mut told) => kind,
+            () = keep(&listener, &mut streams) => unreachable!("it accepts all that come"),
+        }
+    };
+    let kind = tokio::time::timeout_at(told_by, stale).await.expect("to be told in time");
+    assert_eq!(kind, ListKind::Stale);
+    // Discovery is back: the agent speaks again.
+    drop(streams);
+    let watch = answer_watch(&listener).await;
+    assert_eq!(next(&mut told).await, ListKind::Changes);
+    drop(watch);
+}
+
+/// Guards against work for draining workers where lists are pushed and the agent, which knew something, falls silent
+/// before the first watch has brought it.
+#[tokio::test]
+async fn an_agent_that_is_silent_within_its_first_answer_makes_the_list_stale() {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let mut told = client(listener.local_addr().expect("its address"), true);
+    assert_eq!(next(&mut told).await, ListKind::Cached);
+    let (mut stream, _) = listener.accept().await.expect("a call");
+    assert!(stream.read(&mut [0; 1024]).await.expect("a call") > 0);
+    stream.write_all(WATCH_HEAD).await.expect("to write");
+    let told_by = tokio::time::Instant::now() + MAX_NOTIFICATION_DELAY;
+    let mut streams = vec![stream];
+    let stale = async {
+        tokio::select! {
+            kind = next(&mut told) => kind,
+            () = keep(&listener, &mut streams) => unreachable!("it accepts all that come"),
+        }
+    };
+    let kind = tokio::time::timeout_at(told_by, stale).await.expect("to be told in time");
+    assert_eq!(kind, ListKind::Stale);
+}
+
 /// Guards against work for draining workers where discovery has moved to an address that nobody answers at: what it has to
 /// tell counts as told 4 s after the move, whether or not it can be reached.
 #[rstest]
 #[tokio::test]
-async fn a_move_to_where_nobody_answers_makes_the_list_stale(#[values(true, false)] was_reached: bool) {
+async fn a_move_to_where_nobody_answers_makes_the_list_stale(
+    #[values(true, false)] was_reached: bool,
+    #[values(true, false)] pushed: bool,
+) {
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let (_closed_socket, unreachable) = closed();
     let first = if was_reached { listener.local_addr().expect("its address") } else { unreachable };
-    let (mut told, discovery) = client_that_moves(first, false);
+    let (mut told, discovery) = client_that_moves(first, pushed);
     assert_eq!(next(&mut told).await, ListKind::Cached);
     let _watch = if was_reached { Some(answer_watch(&listener).await) } else { None };
     let (_other_socket, other) = closed();
