--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -9,10 +9,9 @@
 use hyper::body::Incoming;
 use hyper::header::{HeaderName, HeaderValue, CONTENT_LENGTH, HOST};
 use hyper::http::uri::PathAndQuery;
-use hyper::{Method, Request, Response, StatusCode, Uri};
+use hyper::{Method, Request, Response, Uri};
 use nickelflow_engine::permits::{Denial, Operation};
-use nickelflow_engine::{LoadReport, Outcome};
-use nickelflow_input_memory::read_body;
+use nickelflow_engine::Outcome;
 use thiserror::Error;
 use tokio::sync::{mpsc, watch};
 use tokio::time::timeout;
@@ -26,9 +25,7 @@
     AttemptId, AttemptRequest, AttemptResult, Event, PendingProgress, RetrySafety, RulesLease, StopLevel,
 };
 use crate::violations;
-use crate::worker_answer::{
-    load_report_of_head, outcome_of_head, parse_load_report, MessageError, WorkerMessage,
-};
+use crate::worker_answer::{load_report_of_head, outcome_of_head, MessageError, WorkerMessage};
 use crate::worker_pool::{is_settled, CheckedOutConnection, ConnectionPreference, WorkerPool};
 use crate::write_guard::{ClientPresence, WriteGuard, MAX_HEAD_AGE};
 
@@ -51,15 +48,7 @@
 /// The header with the version of the rules that an attempt is based on; omitted where no rules are in force.
 const RULES_HEADER: HeaderName = HeaderName::from_static("nickelflow-rules");
 /// The maximum size of a line of a job's response, and of the body of a load report.
-const MAX_RESPONSE_BYTES: usize = 64 << 10;
-/// The timeout of a probe. Workers answer probes without queueing them, so that a worker that takes longer
-/// is stuck.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
-/// A probe that times out this much too late shows that this process stalled, and says nothing about the
-/// worker.
-const STALL_THRESHOLD: Duration = Duration::from_millis(50);
-/// How long a probe retries local failures to open a connection.
-const PROBE_LOCAL_RETRY_LIMIT: Duration = Duration::from_millis(100);
+pub(crate) const MAX_RESPONSE_BYTES: usize = 64 << 10;
 /// How long the end of a response is awaited, so that its connection can be reused.
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(1);
 /// How often an attempt is rewritten because its head became outdated before its first byte was written.
@@ -67,10 +56,10 @@
 
 /// The scheduler's client of all workers.
 pub struct WorkerClient {
-    pool: WorkerPool,
+    pub(crate) pool: WorkerPool,
     worker_connections: WorkerConnectionConfig,
     counters: SharedCounters,
-    event_queue: mpsc::UnboundedSender<Event<ForwardedRequest>>,
+    pub(crate) event_queue: mpsc::UnboundedSender<Event<ForwardedRequest>>,
 }
 
 /// The parameters of one attempt.
@@ -410,55 +399,6 @@
         }
     }
 
-    /// Sends a probe to a worker and reports its result.
-    pub async fn probe(self: Arc<Self>, worker: u32, address: SocketAddr) {
-        let started_at = Instant::now();
-        let probe_result = timeout(PROBE_TIMEOUT, self.request_load_report(address)).await;
-        let has_stalled = started_at.elapsed() >= PROBE_TIMEOUT + STALL_THRESHOLD;
-        let (outcome, report) = match probe_result {
-            Ok(outcome_and_report) => outcome_and_report,
-            Err(_) if has_stalled => (Outcome::NotSent, None),
-            Err(_) => (Outcome::Timeout, None),
-        };
-        if matches!(outcome, Outcome::Timeout | Outcome::ConnectFailed) {
-            // The worker is stuck or gone. Once it is back, it resets its earlier connections, and an attempt
-            // on one of them would end as if the job might have run.
-            self.pool.close_idle(address);
-        }
-        debug!(instance = worker, outcome = %outcome_name(outcome), ?report, "probe ended");
-        let _ = self.event_queue.send(Event::ProbeCompleted { worker, outcome, report });
-    }
-
-    async fn request_load_report(&self, address: SocketAddr) -> (Outcome, Option<LoadReport>) {
-        let mut preference = ConnectionPreference::Any;
-        let (mut checked_out, response) = loop {
-            let mut checked_out =
-                match self.pool.check_out(address, preference, PROBE_LOCAL_RETRY_LIMIT).await {
-                    Ok(checked_out) => checked_out,
-                    Err(outcome) => return (outcome, None),
-                };
-            let mut request = Request::new(Full::default());
-            *request.uri_mut() = Uri::from_static("/load");
-            request.headers_mut().insert(HOST, host_header(address));
-            match checked_out.connection.send_request(request).await {
-                Ok(response) => break (checked_out, response),
-                Err(error) if checked_out.reused && error.progress == WriteProgress::Nothing => {
-                    preference = ConnectionPreference::New
-                }
-                Err(_) => return (Outcome::Reset, None),
-            }
-        };
-        let (status, header_report) = (response.status(), load_report_of_head(&response));
-        let Ok(body) = read_body(response.into_body(), MAX_RESPONSE_BYTES).await else {
-            return (Outcome::Reset, None);
-        };
-        if checked_out.connection.wait_until_ready().await {
-            self.pool.give_back(checked_out);
-        }
-        let report = parse_load_report(&body).or(header_report);
-        (if status == StatusCode::OK { Outcome::Ok } else { Outcome::Error }, report)
-    }
-
     /// Periodically closes connections that have been idle for too long to be reused. Never returns.
     pub async fn close_expired_connections(self: Arc<Self>) {
         self.pool.close_expired_connections().await;
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -17,6 +17,7 @@
 mod list_freshness;
 pub mod listen;
 pub mod memory_plan;
+mod probe;
 mod request_reader;
 pub mod rules_conversion;
 pub mod scheduler_loop;
