Bound the memory of all workers' long lines together

Cause: each response had its limit of 64 KiB for a line, and nothing added them up: a line buffer that doubles to 128 KiB, the decoded text and the result, for all attempts at once.

Change: a line of over 8 KiB needs one of a number of permits that follows from `memory_mb`, and waits for it in order; its buffer is allocated once at the size that it may reach. A worker that stalls within such a line for 0.25 s while others wait gives its permit up; its attempt ends as a reset. Shorter lines need none.

Failed before: `memory_stays_within_the_limit_under` of `memory_limits_workers.rs` with LargeResults and UnfinishedLine.

--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -21,6 +21,7 @@
 use crate::connection::WriteProgress;
 use crate::counters::{outcome_name, SharedCounters};
 use crate::line_reader::{LineError, LineReader};
+use crate::long_lines::LongLinePermits;
 use crate::scheduler_loop::{
     AttemptId, AttemptRequest, AttemptResult, Event, PendingProgress, RetrySafety, RulesLease, StopLevel,
 };
@@ -58,6 +59,7 @@
 pub struct WorkerClient {
     pub(crate) pool: WorkerPool,
     worker_connections: WorkerConnectionConfig,
+    long_lines: LongLinePermits,
     counters: SharedCounters,
     pub(crate) event_queue: mpsc::UnboundedSender<Event<ForwardedRequest>>,
 }
@@ -156,16 +158,17 @@
 }
 
 impl WorkerClient {
-    /// Creates a client that has at most `max_connections` connections at a time and reports to
-    /// `event_queue`.
+    /// Creates a client that has at most `max_connections` connections at a time, receives long lines as
+    /// `long_lines` permits, and reports to `event_queue`.
     pub fn new(
         max_connections: usize,
         worker_connections: WorkerConnectionConfig,
+        long_lines: LongLinePermits,
         counters: SharedCounters,
         event_queue: mpsc::UnboundedSender<Event<ForwardedRequest>>,
     ) -> Arc<Self> {
         let pool = WorkerPool::new(max_connections, worker_connections, counters.clone());
-        Arc::new(WorkerClient { pool, worker_connections, counters, event_queue })
+        Arc::new(WorkerClient { pool, worker_connections, long_lines, counters, event_queue })
     }
 
     /// Executes one attempt and reports its end exactly once: its own outcome, its cancellation or its
@@ -233,7 +236,8 @@
         if may_belong_to_previous_job && outcome.is_some_and(Outcome::never_ran) {
             outcome = Some(Outcome::Reset);
         }
-        let mut lines = LineReader::new(response.into_body(), MAX_RESPONSE_BYTES);
+        let lines = LineReader::new(response.into_body(), MAX_RESPONSE_BYTES);
+        let mut lines = lines.with_permits(self.long_lines.clone());
         if let Some(outcome) = outcome {
             let result = AttemptResult { outcome, result: None, report };
             return FinishedAttempt { result, unread: Some(UnreadResponse { lines, connection }) };
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -16,6 +16,7 @@
 mod line_reader;
 mod list_freshness;
 pub mod listen;
+pub mod long_lines;
 pub mod memory_plan;
 mod probe;
 mod request_reader;
@@ -49,6 +50,7 @@
 use crate::counters::SharedCounters;
 use crate::discovery::{DiscoveryClient, WatchTiming};
 use crate::job_handler::{JobHandler, OpenRequestIds};
+use crate::long_lines::LongLinePermits;
 use crate::memory_plan::MemoryPlan;
 use crate::scheduler_loop::{Command, Event, JobQueue, SchedulerLoop};
 use crate::shutdown::Shutdown;
@@ -99,6 +101,20 @@
     LoopEnded(Result<(), JoinError>),
 }
 
+/// Returns the function that carries out the commands of the scheduler loop.
+fn command_executor(
+    worker_client: Arc<WorkerClient>,
+    watch_requests: mpsc::UnboundedSender<()>,
+) -> impl FnMut(Command<ForwardedRequest>) {
+    move |command| match command {
+        Command::StartAttempt(request) => drop(tokio::spawn(worker_client.clone().execute(request))),
+        Command::Probe { worker, address } => {
+            drop(tokio::spawn(worker_client.clone().probe(worker, address)));
+        }
+        Command::WatchList => drop(watch_requests.send(())),
+    }
+}
+
 /// Tells the scheduler loop when the shutdown begins.
 async fn announce_shutdown(shutdown: Shutdown, events: mpsc::UnboundedSender<Event<ForwardedRequest>>) {
     let deadline = shutdown.wait_for_start().await;
@@ -125,16 +141,15 @@
     let memory = MemoryPlan::for_limit(config.max_memory_bytes, config.initial_endpoints.entries.len());
     let input_memory = memory.input_budget();
     counters.set_input_memory(input_memory.clone());
-    let worker_client =
-        WorkerClient::new(descriptors.workers, config.worker_connections, counters.clone(), queue.clone());
+    let worker_client = WorkerClient::new(
+        descriptors.workers,
+        config.worker_connections,
+        LongLinePermits::new(memory.long_lines),
+        counters.clone(),
+        queue.clone(),
+    );
     tokio::spawn(worker_client.clone().close_expired_connections());
-    let execute_command = move |command| match command {
-        Command::StartAttempt(request) => drop(tokio::spawn(worker_client.clone().execute(request))),
-        Command::Probe { worker, address } => {
-            drop(tokio::spawn(worker_client.clone().probe(worker, address)));
-        }
-        Command::WatchList => drop(watch_requests.send(())),
-    };
+    let execute_command = command_executor(worker_client, watch_requests);
     let timing = WatchTiming {
         uses_agent: !config.settings.requires_subscription,
         scheduler_count: config.settings.dispatchers,
--- a/crates/daemon/src/memory_plan.rs
+++ b/crates/daemon/src/memory_plan.rs
@@ -23,11 +23,18 @@
 /// doubles as it grows.
 pub const TRAILER_BYTES: usize = 32 << 10;
 
+/// 1/`LONG_LINES_DIVISOR` of what is left for input is for long lines of workers, the rest for the budget.
+const LONG_LINES_DIVISOR: usize = 4;
+/// A long line of a worker: its buffer, its text as it is decoded, and the result in it.
+const LONG_LINE_BYTES: usize = 192 << 10;
+
 /// The division of the memory.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct MemoryPlan {
     /// The budget of connections and of the input of peers (bytes).
     pub input_bytes: usize,
+    /// How many long lines of workers may arrive at once.
+    pub long_lines: usize,
 }
 
 impl MemoryPlan {
@@ -35,8 +42,12 @@
     pub fn for_limit(memory_bytes: usize, listed_workers: usize) -> MemoryPlan {
         let own_bytes =
             PROGRAM_BYTES + LISTED_WORKER_BYTES * listed_workers + memory_bytes / ALLOCATOR_DIVISOR;
-        let input_bytes = memory_bytes.saturating_sub(own_bytes).max(memory_bytes / MIN_BUDGET_DIVISOR);
-        MemoryPlan { input_bytes }
+        let available_bytes = memory_bytes.saturating_sub(own_bytes).max(memory_bytes / MIN_BUDGET_DIVISOR);
+        let long_line_bytes = available_bytes / LONG_LINES_DIVISOR;
+        MemoryPlan {
+            input_bytes: available_bytes - long_line_bytes,
+            long_lines: (long_line_bytes / LONG_LINE_BYTES).max(1),
+        }
     }
 
     /// Creates the budget of connections and of the input of peers.
--- a/crates/daemon/tests/attempts.rs
+++ b/crates/daemon/tests/attempts.rs
@@ -9,6 +9,7 @@
 use nickelflow_daemon::attempt::{ForwardedRequest, WorkerClient};
 use nickelflow_daemon::config::WorkerConnectionConfig;
 use nickelflow_daemon::counters::SharedCounters;
+use nickelflow_daemon::long_lines::LongLinePermits;
 use nickelflow_daemon::scheduler_loop::{AttemptId, AttemptRequest, Event, RetrySafety, StopLevel};
 use nickelflow_daemon::write_guard::ClientPresence;
 use nickelflow_engine::Outcome;
@@ -42,7 +43,11 @@
             drain_grace: Duration::from_millis(500),
         };
         let counters = SharedCounters::default();
-        Pool { client: WorkerClient::new(16, config, counters.clone(), queue), ends, counters }
+        Pool {
+            client: WorkerClient::new(16, config, LongLinePermits::new(1), counters.clone(), queue),
+            ends,
+            counters,
+        }
     }
 
     /// An attempt; its task ends when its connection is given back or gone.
--- a/crates/daemon/tests/memory_limits_workers.rs
+++ b/crates/daemon/tests/memory_limits_workers.rs
@@ -4,11 +4,13 @@
 mod common;
 
 use std::io;
+use std::sync::Arc;
 
 use common::{config, entry, header, job, Discovery, Program, PATIENCE};
 use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Barrier;
 
 /// The least memory that the platform gives a scheduler (KiB); the config has the most descriptors that it gives.
 const MEMORY_LIMIT_KIB: u64 = 32 << 10;
@@ -20,6 +22,10 @@
 /// What workers answer.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Answer {
+    /// All but the end of the longest line that is allowed, in one piece.
+    UnfinishedLine,
+    /// The largest results that are allowed, all at once.
+    LargeResults,
     /// All but the end of the longest line that is allowed, in chunks of one byte.
     UnfinishedTinyChunks,
     /// Progress at full speed.
@@ -49,9 +55,20 @@
     }
 }
 
-async fn answer_job(stream: &mut TcpStream, answer: Answer, id: &str) -> io::Result<()> {
+async fn answer_job(
+    stream: &mut TcpStream,
+    answer: Answer,
+    id: &str,
+    all_arrived: &Barrier,
+) -> io::Result<()> {
     let tiny_chunks = CHUNKED_HEAD.to_owned() + &"1\r\n \r\n".repeat(64_000);
+    let start = format!(r#"{{"id":"{id}","state":"done","result":""#) + &"x".repeat(64_000);
     match answer {
+        Answer::UnfinishedLine => write_unfinished(stream, format!("{CHUNKED_HEAD}ffff\r\n{start}")).await,
+        Answer::LargeResults => {
+            all_arrived.wait().await;
+            stream.write_all(with_length(&(start + "\"}")).as_bytes()).await
+        }
         Answer::UnfinishedTinyChunks => write_unfinished(stream, tiny_chunks).await,
         Answer::EndlessHead => {
             let fields = "X: y\r\n".repeat(80) + "X-Fill: " + &"x".repeat(400_000);
@@ -78,7 +95,7 @@
 }
 
 /// Answers what comes on a connection.
-async fn serve(mut stream: TcpStream, answer: Answer) -> io::Result<()> {
+async fn serve(mut stream: TcpStream, answer: Answer, all_arrived: Arc<Barrier>) -> io::Result<()> {
     loop {
         let (mut input, mut space) = (vec![], [0; 8 << 10]);
         while !input.windows(4).any(|end| end == b"\r\n\r\n") {
@@ -90,7 +107,7 @@
         }
         let request = String::from_utf8_lossy(&input).into_owned();
         match header(&request, "request-id") {
-            Some(id) => answer_job(&mut stream, answer, id).await?,
+            Some(id) => answer_job(&mut stream, answer, id, &all_arrived).await?,
             None => answer_probe(&mut stream, answer).await?,
         }
     }
@@ -108,12 +125,14 @@
     Ok(String::from_utf8_lossy(&status[9..]).into_owned())
 }
 
-/// Guards against crashes over the memory limit: progress was queued without a bound, and the read buffers of connections
-/// to workers grew to 400 KiB each.
+/// Guards against crashes over the memory limit: progress was queued without a bound, the read buffers of connections to
+/// workers grew to 400 KiB each, and nothing bounded the lines of all workers together.
 #[rstest]
 #[tokio::test]
 async fn memory_stays_within_the_limit_under(
     #[values(
+        Answer::UnfinishedLine,
+        Answer::LargeResults,
         Answer::UnfinishedTinyChunks,
         Answer::EndlessProgress,
         Answer::EndlessHead,
@@ -123,9 +142,10 @@
 ) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("its address").to_string();
+    let all_arrived = Arc::new(Barrier::new(JOBS));
     tokio::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
-            tokio::spawn(serve(stream, answer));
+            tokio::spawn(serve(stream, answer, all_arrived.clone()));
         }
     });
     let discovery = Discovery::default();
@@ -138,7 +158,8 @@
     // Each job is answered in the end, by its deadline.
     for client in clients {
         let status = tokio::time::timeout(3 * PATIENCE, client).await.expect("in time").expect("no panic");
-        assert!(status.is_ok(), "{status:?}");
+        let status = status.expect("an answer");
+        assert!(answer != Answer::LargeResults || status == "200", "{status}");
     }
     let peak = program.peak();
     println!("{answer:?}: {peak} KiB at most");
