Shed connections that are closing before those that usual clients keep

Cause: a connection that has had its error, and whose client's close is awaited for up to 0.5 s, keeps its slot. In `ClientConnection::eviction_rank` it counted as a new connection for the first 0.1 s, and was shed after those that are kept between jobs.

Change: a connection that is closing is shed first.

Failed before: `connections_that_are_closing_are_shed_before_a_kept_one`, an empty answer to the second job.

--- a/crates/daemon/src/acceptor.rs
+++ b/crates/daemon/src/acceptor.rs
@@ -408,6 +408,7 @@
         debug!(client = client_connection.number, status, why = rejection.reason, "request rejected");
         client_stream.write_all(&rejection.to_bytes()).await?;
     }
+    client_connection.begin_close();
     client_stream.shutdown().await?;
     // A new client needs the slot of a shed connection, so a shed connection discards no input.
     let mut remaining_bytes = if client_connection.is_shed() { 0 } else { MAX_DISCARDED_BYTES };
--- a/crates/daemon/src/client_connection.rs
+++ b/crates/daemon/src/client_connection.rs
@@ -68,6 +68,8 @@
     has_received_job: bool,
     /// Whether the connection is to end because a new client needs the slot of the connection.
     is_shed: bool,
+    /// Whether the last response has been written, so that only the client's close is awaited.
+    is_closing: bool,
     /// Whether the connection closes after the current request, so that no bytes after the current request
     /// are read.
     pub(crate) closes_after_request: bool,
@@ -92,6 +94,7 @@
             has_received_request: false,
             has_received_job: false,
             is_shed: false,
+            is_closing: false,
             closes_after_request: false,
             rejection: None,
             request_id: None,
@@ -218,15 +221,22 @@
         }))
     }
 
-    /// Returns the rank by which connections are shed, the lowest rank first: connections that never
-    /// submitted a job, then connections that have submitted a job, the longest idle first, and last new
+    /// Records that the last response has been written, so that only the client's close is awaited.
+    pub fn begin_close(&self) {
+        self.state().is_closing = true;
+    }
+
+    /// Returns the rank by which connections are shed, the lowest rank first: connections that are closing or
+    /// never submitted a job, then connections that have submitted a job, the longest idle first, and last new
     /// connections, whose first request may be in transit and would be lost. Clients retry a later request
     /// that crosses the close. Returns `None` while a call is in flight or a response is not written, and
     /// when the connection is already shed.
     pub fn eviction_rank(&self) -> Option<(u8, Instant)> {
         let state = self.state();
-        let is_new = !state.has_received_request && self.accepted_at.elapsed() < FIRST_REQUEST_GRACE;
-        let rank = match state.has_received_job {
+        let is_new = !state.is_closing
+            && !state.has_received_request
+            && self.accepted_at.elapsed() < FIRST_REQUEST_GRACE;
+        let rank = match state.has_received_job && !state.is_closing {
             true => (IDLE_RANK, state.idle_since),
             false => (if is_new { 2 } else { 0 }, self.accepted_at),
         };
--- a/crates/daemon/tests/floods.rs
+++ b/crates/daemon/tests/floods.rs
@@ -170,6 +170,32 @@
     assert!(resident <= MOST_MEMORY, "{resident} KiB");
 }
 
+/// Guards against usual clients that lose their connections to a flood: connections of clients that had their error, and
+/// were only awaited to close, counted as new ones and were shed last.
+#[test]
+fn connections_that_are_closing_are_shed_before_a_kept_one() {
+    let scene = scene(Does::Done);
+    let mut kept = open(&scene.program.address, job("first", "").as_bytes()).expect("a connection");
+    let mut answer = [0; 1024];
+    assert!(kept.read(&mut answer).is_ok_and(|length| answer[..length].starts_with(b"HTTP/1.1 200")));
+    // They have their errors, and do not close.
+    let closing: Vec<_> = (1..PLACES)
+        .map(|_| {
+            let mut stream = open(&scene.program.address, b"nonsense\r\n\r\n").expect("a connection");
+            let mut rejection = vec![];
+            stream.read_to_end(&mut rejection).expect("an error");
+            assert!(rejection.starts_with(b"HTTP/1.1 400"), "{}", String::from_utf8_lossy(&rejection));
+            stream
+        })
+        .collect();
+    let newcomer = open(&scene.program.address, job("newcomer", "").as_bytes());
+    assert_eq!(self::answer(newcomer), "200");
+    kept.write_all(job("second", "").as_bytes()).expect("to write");
+    let length = kept.read(&mut answer).expect("an answer");
+    assert!(answer[..length].starts_with(b"HTTP/1.1 200"), "{}", String::from_utf8_lossy(&answer[..length]));
+    drop(closing);
+}
+
 /// Connects and closes by a reset, again and again, until nobody listens any more.
 fn comes_without_a_break(address: &str) {
     while let Ok(stream) = TcpStream::connect(address) {
