Charge a closing client connection nothing: only its client's close is awaited

While bad clients come again as soon as they are turned away, connections whose close is awaited were charged like open ones, 24 KiB each, and a newcomer is turned away when the budget has no room. hyper's part of the connection has been dropped by then.

--- a/crates/daemon/src/acceptor.rs
+++ b/crates/daemon/src/acceptor.rs
@@ -74,7 +74,8 @@
 struct ConnectionSlot {
     slots: Arc<ConnectionSlots>,
     number: u64,
-    _memory: MemoryAccount,
+    /// The account of the connection until it is closing.
+    memory: Option<MemoryAccount>,
 }
 
 impl Drop for ConnectionSlot {
@@ -125,7 +126,7 @@
         let number = occupied.next_number;
         occupied.next_number += 1;
         occupied.connections.insert(number, client_connection.clone());
-        Some(ConnectionSlot { slots: self.clone(), number, _memory: memory })
+        Some(ConnectionSlot { slots: self.clone(), number, memory: Some(memory) })
     }
 
     async fn wait_until_empty(&self) {
@@ -291,7 +292,7 @@
 
 /// Serves one client connection until the connection is closed. The task holds the slot of the connection
 /// until the close, because the acceptor returns when all slots are free.
-async fn serve_connection(stream: TcpStream, handler: JobHandler, slot: ConnectionSlot) {
+async fn serve_connection(stream: TcpStream, handler: JobHandler, mut slot: ConnectionSlot) {
     let (shutdown, counters) = (handler.shutdown.clone(), handler.counters.clone());
     let client_connection = handler.client_connection.clone();
     debug!(client = client_connection.number, peer = ?stream.peer_addr().ok(), "client accepted");
@@ -314,6 +315,7 @@
     check_close(&client_connection, reason, &counters);
     // Dropping the connection cancels the job in flight on the connection.
     drop(connection);
+    slot.memory = None;
     // A connection that is shed during the discard of input closes at once.
     tokio::select! {
         _ = timeout(DISCARD_TIMEOUT, close(client_stream, &client_connection, reason, &counters)) => {}
