--- a/crates/daemon/src/acceptor.rs
+++ b/crates/daemon/src/acceptor.rs
@@ -95,8 +95,7 @@
     }
 
     /// Acquires a slot for a new connection, and may shed existing connections to make room. Returns `None`
-    /// if all slots are in use, if there is no memory, or if room is needed and no existing connection can be
-    /// shed.
+    /// if all slots are in use, or if room is needed and no existing connection can be shed.
     fn acquire(self: &Arc<Self>, client_connection: &Arc<ClientConnection>) -> Option<ConnectionSlot> {
         let mut occupied = self.occupied();
         if occupied.connections.len() >= self.max + self.max_closing {
@@ -122,7 +121,8 @@
             self.counters.shed.add();
         }
         let memory = self.input_memory.open_account(Eviction::Forbidden);
-        memory.resize(CLIENT_CONNECTION_BYTES).ok()?;
+        // The slots bound the connections; a newcomer is not rejected because jobs fill the memory.
+        memory.force_resize(CLIENT_CONNECTION_BYTES);
         let number = occupied.next_number;
         occupied.next_number += 1;
         occupied.connections.insert(number, client_connection.clone());
--- a/crates/daemon/src/request_reader.rs
+++ b/crates/daemon/src/request_reader.rs
@@ -164,7 +164,7 @@
     /// Charges the memory that the buffer has after the next read, as soon as that memory is free. Input that
     /// the memory budget has no room for is given up.
     fn poll_reserve(&mut self, cx: &mut Context) -> Poll<()> {
-        if ready!(self.input_memory.poll_resize(self.buffer.len() + READ_BYTES, cx)).is_err() {
+        if ready!(self.input_memory.poll_resize(self.buffer.len() + self.next_read_bytes(), cx)).is_err() {
             self.give_up_input();
         }
         Poll::Ready(())
@@ -207,10 +207,16 @@
         self.has_ended
     }
 
+    /// Returns how much the next read takes at most: up to the next multiple of [`READ_BYTES`], so that a
+    /// request that arrives in pieces needs no more memory than one that arrives at once.
+    fn next_read_bytes(&self) -> usize {
+        READ_BYTES - self.buffer.len() % READ_BYTES
+    }
+
     /// Reads once from the stream into the buffer.
     fn fill_buffer(&mut self, cx: &mut Context) -> Poll<io::Result<()>> {
         let mut chunk = [0; READ_BYTES];
-        let mut read = ReadBuf::new(&mut chunk);
+        let mut read = ReadBuf::new(&mut chunk[..self.next_read_bytes()]);
         ready!(retry_interrupted(|| Pin::new(&mut self.stream).poll_read(cx, &mut read)))?;
         self.has_ended = read.filled().is_empty();
         self.buffer.extend_from_slice(read.filled());
