faultshim: wait by epoll_pwait, so that the workspace builds on arm64

Change: the system call is `epoll_pwait` without a signal mask, on every kind of machine. Without a mask it is `epoll_wait`: same result, same errno, and the caller's signal mask is not touched. Whether a call is interrupted is decided before it, as before. `syscalls::invoke` passes four arguments and this call has six, so it is made directly.

Measured on arm64: before, the release build failed with this one error. No test, check or time bound is changed.

--- a/crates/faultshim/src/sockets.rs
+++ b/crates/faultshim/src/sockets.rs
@@ -353,14 +353,11 @@
     if syscalls::should_fail(crate::plan().interrupt_rate) {
         return syscalls::fail_with(libc::EINTR) as c_int;
     }
-    // SAFETY: the caller's pointer is passed to the kernel unchanged.
+    let no_signal_mask = std::ptr::null::<libc::sigset_t>();
+    // SAFETY: the caller's pointer is passed to the kernel unchanged. Without a signal mask this is `epoll_wait`,
+    // which has no system call of its own on some architectures.
     unsafe {
-        syscalls::invoke(
-            libc::SYS_epoll_wait,
-            epoll_fd.into(),
-            events as c_long,
-            max_events.into(),
-            timeout.into(),
-        ) as c_int
+        libc::syscall(libc::SYS_epoll_pwait, epoll_fd, events, max_events, timeout, no_signal_mask, 0_usize)
+            as c_int
     }
 }
