review: a drain in a quiet hour makes schedulers reject everything

Nothing is mended.

Seen: two schedulers, twelve workers, tenants with quotas, jobs without memory. Five workers begin to drain before the first job comes. Then each scheduler gets 5 jobs a second for 40 s, and rejects all 200 with 503: no probe, no attempt, though seven workers are active and idle.

Cause, by reading and by a random search with the dispatcher alone: while traffic counts as low, workers are not probed until a job needs them; when the number of ready workers falls, the same traffic counts as high, and nothing schedules the probes of workers that are closed at that moment.

--- /dev/null
+++ b/review/lab-2/main.rs
@@ -0,0 +1,16 @@
+//! The tests of the second review: one word names the case, and the exit status is its verdict.
+
+mod quiet_drain;
+mod stand;
+
+fn main() {
+    let case = std::env::args().nth(1).unwrap_or_default();
+    let settings = stand::Run::from_environment();
+    let held = match case.as_str() {
+        "quiet_drain" => quiet_drain::run(&settings),
+        _ => stand::cannot_run("no such case"),
+    };
+    settings.record.save(&settings.record_file);
+    println!("{}", if held { "the rule held" } else { "the rule was broken" });
+    std::process::exit(if held { 0 } else { 1 });
+}
