review: answered requests fill the memory until their time is over

A case of the independent review; nothing is mended.

Seen: memory_mb is 32. Eight bad clients send the same again as soon as they are turned away, each request with 100 s left of its class's 120 s. The scheduler's resident memory grows by about 32 bytes for each of them, passes 32 MiB after 21 s and 965,000 requests, and does not fall. Over `memory_mb` the platform kills the process, and with it all that it has taken.

Cause, by reading: the deadline timer of a request stays in the dispatcher's heap until the deadline, also when the request was answered at once, and no budget counts it.

--- a/review/lab-2/main.rs
+++ b/review/lab-2/main.rs
@@ -1,5 +1,6 @@
 //! The tests of the second review: one word names the case, and the exit status is its verdict.
 
+mod memory;
 mod quiet_drain;
 mod stand;
 
@@ -8,6 +9,7 @@
     let settings = stand::Run::from_environment();
     let held = match case.as_str() {
         "quiet_drain" => quiet_drain::run(&settings),
+        "memory" => memory::run(&settings),
         _ => stand::cannot_run("no such case"),
     };
     settings.record.save(&settings.record_file);
