review: without probes a worker is never used again after one reset

A case of the independent review; nothing is mended.

Seen: the settings allow no probes, and load reports come with answers. For one second connections are reset under requests. Each worker that this meets is ejected for good; after it the scheduler rejects every job with 503 and makes no attempt for the 34 s that are left, though all six workers are sound.

Cause, by reading: only a probe ends an ejection, and no probe may be sent.

--- a/review/lab-2/main.rs
+++ b/review/lab-2/main.rs
@@ -1,6 +1,7 @@
 //! The tests of the second review: one word names the case, and the exit status is its verdict.
 
 mod memory;
+mod no_probes;
 mod quiet_drain;
 mod stand;
 
@@ -10,6 +11,7 @@
     let held = match case.as_str() {
         "quiet_drain" => quiet_drain::run(&settings),
         "memory" => memory::run(&settings),
+        "no_probes" => no_probes::run(&settings),
         _ => stand::cannot_run("no such case"),
     };
     settings.record.save(&settings.record_file);
