review: one-slot workers get no job whose time is part of the deadline

A case of the independent review; nothing is mended.

Seen: twelve idle workers with one slot each, two schedulers, 5 jobs a second for each, each try with 3 s of the class's 5 s. Both schedulers probe, are told of free slots, and reject all jobs with 503, without an attempt in 30 s.

--- a/review/lab-2/main.rs
+++ b/review/lab-2/main.rs
@@ -2,6 +2,7 @@
 
 mod memory;
 mod no_probes;
+mod one_slot;
 mod quiet_drain;
 mod stand;
 
@@ -12,6 +13,7 @@
         "quiet_drain" => quiet_drain::run(&settings),
         "memory" => memory::run(&settings),
         "no_probes" => no_probes::run(&settings),
+        "one_slot" => one_slot::run(&settings),
         _ => stand::cannot_run("no such case"),
     };
     settings.record.save(&settings.record_file);
