review: clients that stop halfway take a scheduler over its memory limit

A case of the independent review, from the roadmap's entry on the largest usual load; nothing is mended.

Seen: memory_mb is 32. 200 usual clients with results of 65,000 bytes need 20 to 24 MiB, and are all served. 250 bad clients come, each of which sends 60,000 bytes of a body of 64 KiB and stops. The scheduler's resident memory goes to 37,500 to 38,900 KiB within seconds; over 32,768 the platform kills it, and what it has taken is lost.

Cause, by reading, as far as known: the memory plan gives the input of clients all that the program's own share leaves, and neither connections to workers nor results on their way to clients are charged to anything.

--- /dev/null
+++ b/review/6/run.sh
@@ -0,0 +1,2 @@
+#!/bin/bash
+exec "$(dirname "$0")/../lab-2/run" results "review/6"
--- a/review/lab-2/main.rs
+++ b/review/lab-2/main.rs
@@ -4,6 +4,7 @@
 mod no_probes;
 mod one_slot;
 mod quiet_drain;
+mod results;
 mod stand;
 
 fn main() {
@@ -14,6 +15,7 @@
         "memory" => memory::run(&settings),
         "no_probes" => no_probes::run(&settings),
         "one_slot" => one_slot::run(&settings),
+        "results" => results::run(&settings),
         _ => stand::cannot_run("no such case"),
     };
     settings.record.save(&settings.record_file);
--- a/review/lab-2/stand.rs
+++ b/review/lab-2/stand.rs
@@ -221,13 +221,25 @@
 /// Answers a job as a worker does that tells of its start, runs it for `time`, and has a result. `load` is the load
 /// report of the last line, or empty.
 pub fn run_job(stream: &mut TcpStream, name: &str, id: &str, time: Duration, load: impl FnOnce() -> String) {
+    run_job_for(stream, name, id, time, &format!("result of {id}"), load);
+}
+
+/// The same with this result.
+pub fn run_job_for(
+    stream: &mut TcpStream,
+    name: &str,
+    id: &str,
+    time: Duration,
+    result: &str,
+    load: impl FnOnce() -> String,
+) {
     let line = |state: &str| format!("{{\"id\":\"{id}\",\"from\":\"{name}\",\"state\":{state}}}\n");
     let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
     let _ = stream.write_all(&chunk(&line("\"started\"")));
     std::thread::sleep(time);
     let load = load();
     let load = if load.is_empty() { load } else { format!(",\"load\":{load}") };
-    let _ = stream.write_all(&chunk(&line(&format!("\"done\",\"result\":\"result of {id}\"{load}"))));
+    let _ = stream.write_all(&chunk(&line(&format!("\"done\",\"result\":\"{result}\"{load}"))));
     let _ = stream.write_all(b"0\r\n\r\n");
 }
 
